--- /dev/null
+++ b/fuzz/settings.cc
@@ -0,0 +1,20 @@
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "kingcupshed/settings/settings.h"
+
+// Settings without faults name the VM and its addresses.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const auto parsed = kingcupshed::settings::ParseSettings(text);
+  if (!parsed.faults.empty()) {
+    return 0;
+  }
+  if (parsed.settings.vm.empty() || parsed.settings.listen.empty()) {
+    std::abort();
+  }
+  return 0;
+}
--- /dev/null
+++ b/fuzz/version_log.cc
@@ -0,0 +1,22 @@
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "kingcupshed/table/version_log.h"
+
+// No record makes the version in force go back.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using kingcupshed::LogOffset;
+  const std::string payload(reinterpret_cast<const char*>(data), size);
+  kingcupshed::table::VersionLog versions;
+  for (std::uint64_t offset = 0; offset < 2; ++offset) {
+    const auto before = versions.in_force().version;
+    (void)versions.Apply({LogOffset{offset}, std::to_string(offset), payload});
+    if (versions.in_force().version < before) {
+      std::abort();
+    }
+  }
+  return 0;
+}
