Add an open-loop load driver over persistent connections

Arrivals are Poisson from the seeded standard generator; latencies are kept whole and sorted once, as estimators over groups are too coarse at the 99th percentile.

--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -44,7 +44,7 @@
         """
         name: deployment under examples/.
         vms: number of balancing VMs; the deployment's own when None.
-        settings: further settings put into every VM's file.
+        settings: further settings put into every VM's file; None removes one.
         prefix: first two numbers of the loopback addresses, as in '127.9'.
         """
         self.name = name
@@ -106,12 +106,14 @@
     def start_vm(self, vm):
         """Writes the settings of a VM and starts it."""
         file = self.folder / f"{vm['name']}.json"
-        file.write_text(json.dumps({
+        settings = {
             "vm": vm["name"], "zone": vm["zone"], "zones": self.spec["zones"],
             "listen": vm["address"], "peer_listen": vm["peer_address"],
             "platform": self.platform,
             "event_file": str(self.folder / f"{vm['name']}.events"),
-            **self.settings}))
+            **self.settings}
+        file.write_text(json.dumps({key: value for key, value
+                                    in settings.items() if value is not None}))
         return self.start(vm["name"],
                           [BUILD / "kingcupshed", "run", "--settings", file])
 
--- /dev/null
+++ b/standin/load_driver_main.cc
@@ -0,0 +1,157 @@
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "standin/load_client.h"
+#include "standin/load_plan.h"
+#include "standin/load_results.h"
+
+namespace {
+
+namespace asio = boost::asio;
+using kingcupshed::Duration;
+using kingcupshed::TimePoint;
+using standin::LoadPlan;
+using standin::LoadStream;
+using standin::StreamResults;
+
+/// Sends the calls of a plan at their instants, whatever becomes of them.
+class LoadDriver {
+ public:
+  LoadDriver(asio::io_context& io, const LoadPlan& plan)
+      : io_(io),
+        plan_(plan),
+        client_(io, plan.vms),
+        results_(plan.streams.size()),
+        start_(std::chrono::steady_clock::now()) {}
+
+  void Start() {
+    for (std::size_t i = 0; i < plan_.streams.size(); ++i) {
+      asio::co_spawn(io_, SendStream(i), asio::detached);
+    }
+  }
+
+  [[nodiscard]] boost::json::object Results() {
+    boost::json::object streams;
+    for (std::size_t i = 0; i < plan_.streams.size(); ++i) {
+      const LoadStream& stream = plan_.streams[i];
+      const Duration measured =
+          stream.stop - std::max(stream.start, stream.measure_from);
+      streams[stream.name] = standin::ToJson(results_[i], measured);
+    }
+    return {{"seed", plan_.seed},
+            {"connections_opened", client_.connections_opened()},
+            {"most_behind_ms", kingcupshed::ToMilliseconds(most_behind_)},
+            {"streams", std::move(streams)}};
+  }
+
+ private:
+  asio::awaitable<void> SendStream(std::size_t index) {
+    const LoadStream& stream = plan_.streams[index];
+    std::mt19937_64 random(plan_.seed + index);
+    std::exponential_distribution<double> gap(stream.rate);
+    std::uniform_int_distribution<std::size_t> vm(0, plan_.vms.size() - 1);
+    asio::steady_timer timer(io_);
+    Duration due = stream.start;
+    for (std::uint64_t number = 0;; ++number) {
+      due += kingcupshed::FromSeconds(gap(random));
+      if (due >= stream.stop) {
+        co_return;
+      }
+      const TimePoint intended = start_ + due;
+      if (intended > std::chrono::steady_clock::now()) {
+        timer.expires_at(intended);
+        co_await timer.async_wait(asio::use_awaitable);
+      }
+      most_behind_ = std::max<Duration>(
+          most_behind_, std::chrono::steady_clock::now() - intended);
+      asio::co_spawn(io_,
+                     SendCall(index, MakeCall(stream, vm(random), number),
+                              intended, due >= stream.measure_from),
+                     asio::detached);
+    }
+  }
+
+  [[nodiscard]] standin::LoadCall MakeCall(const LoadStream& stream,
+                                           std::size_t vm,
+                                           std::uint64_t number) const {
+    standin::LoadCall call;
+    call.vm = vm;
+    call.method = stream.body_bytes > 0 ? "POST" : "GET";
+    call.path = "/" + stream.service + "/" + stream.path;
+    call.caller = stream.name + "-" + std::to_string(plan_.seed) + "-" +
+                  std::to_string(number);
+    call.key = stream.keyed ? call.caller : "";
+    call.body = std::string(stream.body_bytes, 'b');
+    call.rank = stream.rank;
+    call.deadline = stream.deadline;
+    call.timeout = stream.timeout;
+    return call;
+  }
+
+  asio::awaitable<void> SendCall(std::size_t index,
+                                 standin::LoadCall call,
+                                 TimePoint intended,
+                                 bool counted) {
+    const standin::LoadAnswer answer = co_await client_.Send(std::move(call));
+    const Duration latency = std::chrono::steady_clock::now() - intended;
+    if (!counted) {
+      co_return;
+    }
+    StreamResults& results = results_[index];
+    results.Count(answer.outcome);
+    if (answer.outcome == standin::CallOutcome::kAnswered) {
+      const Duration deadline = plan_.streams[index].deadline;
+      results.late += deadline > Duration::zero() && latency > deadline;
+      results.latencies.push_back(latency);
+      results.bytes += answer.bytes;
+      ++results.targets[answer.target];
+    } else {
+      ++results.reasons[answer.reason.empty() ? std::to_string(answer.code)
+                                              : answer.reason];
+    }
+  }
+
+  asio::io_context& io_;
+  const LoadPlan& plan_;
+  standin::LoadClient client_;
+  std::vector<StreamResults> results_;
+  TimePoint start_;
+  /// Longest time by which a call was sent later than intended.
+  Duration most_behind_{};
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 2) {
+    std::cerr << "usage: load_driver PLAN.json\n";
+    return 2;
+  }
+  std::ifstream file(argv[1]);
+  const std::string text(std::istreambuf_iterator<char>(file), {});
+  const auto plan = standin::ParseLoadPlan(text);
+  if (!plan) {
+    std::cerr << argv[1] << ": the plan is malformed\n";
+    return 2;
+  }
+  asio::io_context io(1);
+  LoadDriver driver(io, *plan);
+  driver.Start();
+  io.run();
+  std::cout << boost::json::serialize(driver.Results()) << "\n";
+  return 0;
+}
