Give the platform stand-in its faults, retention and limits

Every promise has to be shown while the log is down, slow, forgetful or loses answers, so the stand-in can now do each of these while it runs. Reads wait for an append instead of polling. The client sends from the VM's own IP number: loopback otherwise picks 127.0.0.1 for every VM, and the stand-in could not tell regions apart.

--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -95,9 +95,22 @@
         self.processes[label] = process
         return process
 
-    def start_platform(self):
+    def start_platform(self, *options):
+        """Starts the platform; options as in standin/README.md."""
         return self.start("platform", [BUILD / "platform_standin",
-                                       self.platform, self.deployment_file])
+                                       self.platform, self.deployment_file,
+                                       *options])
+
+    def control_platform(self, **changes):
+        """Switches faults of the platform and returns its state.
+
+        Without changes only reads. See standin/README.md for the keys.
+        """
+        request = urllib.request.Request(
+            f"http://{self.platform}/control",
+            data=json.dumps(changes).encode() if changes else None)
+        with urllib.request.urlopen(request, timeout=5) as answer:
+            return json.loads(answer.read())
 
     def start_targets(self):
         return self.start("targets",
--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -38,6 +38,11 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+/// Returns the IP number of an address with a port.
+std::string HostOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
 dispatch::Config DispatchConfig(Runtime& runtime) {
   const settings::Settings& settings = runtime.settings;
   dispatch::Config config;
@@ -57,7 +62,7 @@
  public:
   explicit Daemon(const settings::Settings& settings)
       : runtime_(settings),
-        platform_(settings.platform),
+        platform_(settings.platform, HostOf(settings.listen)),
         dispatcher_(DispatchConfig(runtime_)),
         driver_(runtime_.io, dispatcher_),
         server_(runtime_.io, MakeServerContext()),
--- a/src/kingcupshed/http/fetch.cc
+++ b/src/kingcupshed/http/fetch.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,6 +37,25 @@
   return message;
 }
 
+/// Binds a stream to the IP number that a request asks for, if any.
+bool BindSource(beast::tcp_stream& stream, const std::string& source) {
+  if (source.empty()) {
+    return true;
+  }
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(source, error);
+  if (error) {
+    return false;
+  }
+  const asio::ip::tcp::endpoint local(address, 0);
+  auto& socket = stream.socket();
+  socket.open(local.protocol(), error);
+  if (!error) {
+    socket.bind(local, error);
+  }
+  return !error;
+}
+
 }  // namespace
 
 asio::awaitable<FetchResult> Fetch(FetchRequest request) {
@@ -47,6 +68,9 @@
   stream.expires_after(request.timeout);
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
+  if (!BindSource(stream, request.source)) {
+    co_return result;
+  }
   co_await stream.async_connect(*endpoint, token);
   if (error) {
     co_return result;
--- a/src/kingcupshed/http/fetch.h
+++ b/src/kingcupshed/http/fetch.h
@@ -20,6 +20,8 @@
   std::map<std::string, std::string> headers;
   std::string body;
   Duration timeout = std::chrono::seconds(2);
+  /// IP number to send from; empty for the system's choice.
+  std::string source;
 };
 
 /// How a fetch ended.
--- a/src/kingcupshed/platform/client.cc
+++ b/src/kingcupshed/platform/client.cc
@@ -109,7 +109,8 @@
 
 }  // namespace
 
-Client::Client(std::string address) : address_(std::move(address)) {}
+Client::Client(std::string address, std::string source)
+    : address_(std::move(address)), source_(std::move(source)) {}
 
 asio::awaitable<AppendResult> Client::Append(
     std::string stream,
@@ -121,6 +122,7 @@
   }
   http::FetchRequest request;
   request.address = address_;
+  request.source = source_;
   request.method = "POST";
   request.path = "/log/" + stream;
   request.body = json::serialize(json::object{{"records", std::move(list)}});
@@ -145,6 +147,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   http::FetchRequest request;
   request.address = address_;
+  request.source = source_;
   request.path = "/log/" + stream + "?from=" + std::to_string(ToIndex(from)) +
                  "&wait_ms=" + std::to_string(wait_ms);
   request.timeout = kAnswerTimeout + wait;
@@ -162,6 +165,7 @@
     const {
   http::FetchRequest request;
   request.address = address_;
+  request.source = source_;
   request.path = "/targets";
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
   co_return ReadList<TargetEntry>(answer, &ReadTarget);
@@ -170,6 +174,7 @@
 asio::awaitable<std::optional<std::vector<VmEntry>>> Client::ListVms() const {
   http::FetchRequest request;
   request.address = address_;
+  request.source = source_;
   request.path = "/vms";
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
   co_return ReadList<VmEntry>(answer, &ReadVm);
--- a/src/kingcupshed/platform/client.h
+++ b/src/kingcupshed/platform/client.h
@@ -65,7 +65,8 @@
 class Client {
  public:
   /// @param address Host and port of the platform.
-  explicit Client(std::string address);
+  /// @param source IP number to send from; empty for the system's choice.
+  explicit Client(std::string address, std::string source = {});
 
   /// Appends records to a stream as one append.
   [[nodiscard]] boost::asio::awaitable<AppendResult> Append(
@@ -87,6 +88,7 @@
 
  private:
   std::string address_;
+  std::string source_;
 };
 
 }  // namespace kingcupshed::platform
--- a/standin/http_service.cc
+++ b/standin/http_service.cc
@@ -66,6 +66,9 @@
 asio::awaitable<void> ServeConnection(beast::tcp_stream stream,
                                       Handler handler) {
   beast::flat_buffer buffer;
+  boost::system::error_code unknown;
+  const std::string source =
+      stream.socket().remote_endpoint(unknown).address().to_string();
   for (;;) {
     Parser parser;
     parser.body_limit(boost::none);
@@ -75,7 +78,9 @@
     if (error) {
       co_return;
     }
-    Response answer = co_await handler(ToRequest(parser.get()));
+    Request request = ToRequest(parser.get());
+    request.source = source;
+    Response answer = co_await handler(request);
     if (answer.drop) {
       co_return;
     }
--- a/standin/http_service.h
+++ b/standin/http_service.h
@@ -18,6 +18,8 @@
   /// Header names in lower case.
   std::map<std::string, std::string> headers;
   std::string body;
+  /// IP number of the sender.
+  std::string source;
 };
 
 /// A whole answer of a stand-in.
--- /dev/null
+++ b/standin/platform.cc
@@ -0,0 +1,395 @@
+#include "standin/platform.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace standin {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr std::size_t kMaxPageRecords = 1000;
+constexpr std::string_view kLogPrefix = "/log/";
+
+Response JsonResponse(const json::value& value) {
+  return {200,
+          {{"content-type", "application/json"}},
+          json::serialize(value),
+          false};
+}
+
+Response ErrorResponse(unsigned code, std::string cause) {
+  return {code, {}, std::move(cause) + "\n", false};
+}
+
+std::uint64_t QueryNumber(const Request& request, const std::string& key) {
+  const auto found = request.query.find(key);
+  std::uint64_t value = 0;
+  if (found != request.query.end()) {
+    const std::string& text = found->second;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+  }
+  return value;
+}
+
+struct OutageName {
+  std::string_view name;
+  Outage outage;
+};
+
+constexpr std::array<OutageName, 3> kOutageNames{{{"none", Outage::kNone},
+                                                  {"refuse", Outage::kRefuse},
+                                                  {"hang", Outage::kHang}}};
+
+Outage ReadOutage(const json::value& value) {
+  const std::string_view text(value.as_string().data(),
+                              value.as_string().size());
+  for (const OutageName& name : kOutageNames) {
+    if (name.name == text) {
+      return name.outage;
+    }
+  }
+  throw std::invalid_argument("outage: none, refuse or hang");
+}
+
+std::chrono::milliseconds ReadMilliseconds(const json::value& value) {
+  return std::chrono::milliseconds(value.to_number<std::int64_t>());
+}
+
+/// A key of the control page.
+struct SwitchKey {
+  std::string_view name;
+  void (*apply)(PlatformControl&, const json::value&);
+};
+
+constexpr std::array<SwitchKey, 7> kSwitches{{
+    {"outage",
+     [](PlatformControl& control, const json::value& value) {
+       control.outage = ReadOutage(value);
+     }},
+    {"delay_ms",
+     [](PlatformControl& control, const json::value& value) {
+       control.delay = ReadMilliseconds(value);
+     }},
+    {"lose_answers",
+     [](PlatformControl& control, const json::value& value) {
+       control.lose_answers = value.to_number<std::size_t>();
+     }},
+    {"lose_share",
+     [](PlatformControl& control, const json::value& value) {
+       control.lose_share = value.to_number<double>();
+     }},
+    {"retention_records",
+     [](PlatformControl& control, const json::value& value) {
+       control.retention.records = value.to_number<std::size_t>();
+     }},
+    {"retention_ms",
+     [](PlatformControl& control, const json::value& value) {
+       control.retention.age = ReadMilliseconds(value);
+     }},
+    {"list_lag_ms",
+     [](PlatformControl& control, const json::value& value) {
+       control.list_lag = ReadMilliseconds(value);
+     }},
+}};
+
+std::string HostOf(const json::object& entry) {
+  const std::string address(entry.at("address").as_string());
+  return address.substr(0, address.rfind(':'));
+}
+
+/// Returns the one-way delay of each VM that stands outside the store's region.
+std::map<std::string, Clock::duration> ReadDistances(
+    const json::value& deployment) {
+  std::map<std::string, Clock::duration> distances;
+  const json::object& root = deployment.as_object();
+  if (!root.contains("zones") || !root.contains("store_region") ||
+      !root.contains("region_delay_ms")) {
+    return distances;
+  }
+  const std::chrono::duration<double, std::milli> delay(
+      root.at("region_delay_ms").to_number<double>());
+  for (const json::value& value : root.at("vms").as_array()) {
+    const json::object& vm = value.as_object();
+    const json::value* region =
+        root.at("zones").as_object().if_contains(vm.at("zone").as_string());
+    if (region != nullptr && *region != root.at("store_region")) {
+      distances[HostOf(vm)] =
+          std::chrono::duration_cast<Clock::duration>(delay);
+    }
+  }
+  return distances;
+}
+
+}  // namespace
+
+LaggingList::LaggingList(const json::value& entries)
+    : entries_(entries.as_array()) {
+  for (const json::value& entry : entries_) {
+    states_[std::string(entry.at("name").as_string())] =
+        std::string(entry.at("state").as_string());
+  }
+}
+
+void LaggingList::SetState(const std::string& name,
+                           const std::string& state,
+                           Clock::time_point visible) {
+  if (states_.count(name) == 0) {
+    throw std::invalid_argument(name + ": the name is not on the list");
+  }
+  if (state != "live" && state != "leaving" && state != "removed") {
+    throw std::invalid_argument(name + ": live, leaving or removed");
+  }
+  pending_.push_back({name, state, visible});
+}
+
+json::array LaggingList::Show(Clock::time_point now) {
+  std::stable_sort(pending_.begin(), pending_.end(),
+                   [](const Change& left, const Change& right) {
+                     return left.visible < right.visible;
+                   });
+  while (!pending_.empty() && pending_.front().visible <= now) {
+    states_[pending_.front().name] = pending_.front().state;
+    pending_.erase(pending_.begin());
+  }
+  json::array shown;
+  for (const json::value& value : entries_) {
+    json::object entry = value.as_object();
+    const std::string& state =
+        states_[std::string(entry.at("name").as_string())];
+    if (state != "removed") {
+      entry["state"] = state;
+      shown.push_back(std::move(entry));
+    }
+  }
+  return shown;
+}
+
+Platform::Platform(asio::io_context& io,
+                   const json::value& deployment,
+                   PlatformControl control,
+                   std::size_t appends_per_second)
+    : io_(io),
+      control_(control),
+      append_limit_(appends_per_second),
+      targets_(deployment.at("targets")),
+      vms_(deployment.at("vms")),
+      distances_(ReadDistances(deployment)) {}
+
+asio::awaitable<Response> Platform::Handle(Request request) {
+  if (request.path == "/control") {
+    co_return Control(request);
+  }
+  const Clock::duration one_way =
+      DistanceOf(request.source) + control_.delay / 2;
+  co_await Sleep(one_way);
+  if (control_.outage != Outage::kNone) {
+    co_return co_await WaitOutOutage();
+  }
+  Response response = co_await HandleReached(std::move(request));
+  co_await Sleep(one_way);
+  co_return response;
+}
+
+asio::awaitable<Response> Platform::HandleReached(Request request) {
+  if (request.path == "/targets" || request.path == "/vms") {
+    ++counters_.list_reads;
+    LaggingList& list = request.path == "/targets" ? targets_ : vms_;
+    co_return JsonResponse(list.Show(Clock::now()));
+  }
+  if (request.path.rfind(kLogPrefix, 0) != 0) {
+    co_return ErrorResponse(404, "no such page");
+  }
+  std::string stream = request.path.substr(kLogPrefix.size());
+  if (request.method == "POST") {
+    co_return Append(stream, request.body);
+  }
+  co_return co_await Read(std::move(stream), std::move(request));
+}
+
+asio::awaitable<Response> Platform::WaitOutOutage() {
+  if (control_.outage == Outage::kRefuse) {
+    co_return ErrorResponse(503, "outage");
+  }
+  while (control_.outage == Outage::kHang) {
+    co_await WaitForChange(Clock::time_point::max());
+  }
+  Response response;
+  response.drop = true;
+  co_return response;
+}
+
+Response Platform::Append(const std::string& stream, const std::string& body) {
+  const auto now = Clock::now();
+  std::vector<StoredRecord> records;
+  boost::system::error_code error;
+  const json::value root = json::parse(body, error);
+  try {
+    for (const json::value& value : root.at("records").as_array()) {
+      StoredRecord record;
+      record.id = std::string(value.at("id").as_string());
+      record.payload = std::string(value.at("payload").as_string());
+      records.push_back(std::move(record));
+    }
+  } catch (const std::exception&) {
+    return ErrorResponse(400, "the body is not {\"records\": [...]}");
+  }
+  if (!append_limit_.Admit(now)) {
+    ++counters_.refused;
+    return ErrorResponse(429, "too many appends");
+  }
+  ++counters_.appends;
+  counters_.records += records.size();
+  const std::uint64_t first = store_.Append(stream, std::move(records), now);
+  store_.Expire(control_.retention, now);
+  WakeAll();
+  Response response = JsonResponse(json::object{{"first", first}});
+  const bool unlucky =
+      std::uniform_real_distribution<>()(random_) < control_.lose_share;
+  if (control_.lose_answers > 0 || unlucky) {
+    control_.lose_answers -= std::min<std::size_t>(control_.lose_answers, 1);
+    ++counters_.lost_answers;
+    response.drop = true;
+  }
+  return response;
+}
+
+asio::awaitable<Response> Platform::Read(std::string stream, Request request) {
+  ++counters_.reads;
+  const std::uint64_t from = QueryNumber(request, "from");
+  const auto deadline =
+      Clock::now() + std::chrono::milliseconds(QueryNumber(request, "wait_ms"));
+  while (store_.end(stream) <= from && Clock::now() < deadline &&
+         control_.outage == Outage::kNone) {
+    co_await WaitForChange(deadline);
+  }
+  if (control_.outage != Outage::kNone) {
+    co_return co_await WaitOutOutage();
+  }
+  store_.Expire(control_.retention, Clock::now());
+  json::array list;
+  for (const StoredRecord& record :
+       store_.Read(stream, from, kMaxPageRecords)) {
+    list.push_back(json::object{{"offset", record.offset},
+                                {"id", record.id},
+                                {"payload", record.payload}});
+  }
+  co_return JsonResponse(json::object{{"first", store_.first(stream)},
+                                      {"end", store_.end(stream)},
+                                      {"records", std::move(list)}});
+}
+
+asio::awaitable<void> Platform::Sleep(Clock::duration duration) {
+  if (duration <= Clock::duration::zero()) {
+    co_return;
+  }
+  asio::steady_timer timer(io_, duration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> Platform::WaitForChange(Clock::time_point deadline) {
+  asio::steady_timer timer(io_, deadline);
+  waiting_.insert(&timer);
+  boost::system::error_code error;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  waiting_.erase(&timer);
+}
+
+void Platform::WakeAll() {
+  for (asio::steady_timer* timer : waiting_) {
+    timer->cancel();
+  }
+}
+
+Clock::duration Platform::DistanceOf(const std::string& source) const {
+  const auto found = distances_.find(source);
+  return found == distances_.end() ? Clock::duration::zero() : found->second;
+}
+
+Response Platform::Control(const Request& request) {
+  if (request.method == "POST") {
+    boost::system::error_code error;
+    const json::value root = json::parse(request.body, error);
+    if (error || !root.is_object()) {
+      return ErrorResponse(400, "the body is not a JSON object");
+    }
+    std::string fault;
+    try {
+      fault = Switch(root.get_object());
+    } catch (const std::exception& error) {
+      fault = error.what();
+    }
+    if (!fault.empty()) {
+      return ErrorResponse(400, std::move(fault));
+    }
+    WakeAll();
+  }
+  return JsonResponse(Describe());
+}
+
+std::string Platform::Switch(const json::object& changes) {
+  for (const auto& [key, value] : changes) {
+    const auto* found = std::find_if(
+        kSwitches.begin(), kSwitches.end(),
+        [&, name = std::string_view(key.data(), key.size())](
+            const SwitchKey& known) { return known.name == name; });
+    if (found != kSwitches.end()) {
+      found->apply(control_, value);
+    } else if (key == "appends_per_s") {
+      append_limit_.set_per_second(value.to_number<std::size_t>());
+    } else if (key == "targets" || key == "vms") {
+      SwitchStates(key == "targets" ? targets_ : vms_, value);
+    } else {
+      return std::string(key) + ": the key is unknown";
+    }
+  }
+  return {};
+}
+
+void Platform::SwitchStates(LaggingList& list, const json::value& states) {
+  const auto visible = Clock::now() + control_.list_lag;
+  for (const auto& [name, value] : states.as_object()) {
+    list.SetState(std::string(name), std::string(value.as_string()), visible);
+  }
+}
+
+json::object Platform::Describe() {
+  store_.Expire(control_.retention, Clock::now());
+  json::object streams;
+  for (const auto& [name, size] : store_.sizes()) {
+    streams[name] = json::object{{"first", store_.first(name)},
+                                 {"end", store_.end(name)},
+                                 {"records", size}};
+  }
+  const auto index = static_cast<std::size_t>(control_.outage);
+  const std::string_view outage = kOutageNames.at(index).name;
+  return {{"outage", json::string_view(outage.data(), outage.size())},
+          {"delay_ms", control_.delay.count()},
+          {"lose_answers", control_.lose_answers},
+          {"lose_share", control_.lose_share},
+          {"retention_records", control_.retention.records},
+          {"retention_ms", control_.retention.age.count()},
+          {"list_lag_ms", control_.list_lag.count()},
+          {"appends_per_s", append_limit_.per_second()},
+          {"waiting", waiting_.size()},
+          {"streams", std::move(streams)},
+          {"appends", counters_.appends},
+          {"records", counters_.records},
+          {"refused", counters_.refused},
+          {"reads", counters_.reads},
+          {"list_reads", counters_.list_reads},
+          {"lost_answers", counters_.lost_answers}};
+}
+
+}  // namespace standin
