--- a/scripts/lib/cluster.py
+++ b/scripts/lib/cluster.py
@@ -27,6 +27,23 @@
         return 0, b""
 
 
+def file_bytes(path, size):
+    """Returns the bytes of a file that the target stand-in serves."""
+    mask = (1 << 64) - 1
+    state = 14695981039346656037
+    for byte in path.encode():
+        state = ((state ^ byte) * 1099511628211) & mask
+    block = bytearray()
+    while len(block) < 65521:
+        state = (state + 0x9E3779B97F4A7C15) & mask
+        z = state
+        z = ((z ^ (z >> 30)) * 0xBF58476D1CE4E5B9) & mask
+        z = ((z ^ (z >> 27)) * 0x94D049BB133111EB) & mask
+        block += (z ^ (z >> 31)).to_bytes(8, "little")
+    block = bytes(block[:65521])
+    return (block * (size // len(block) + 1))[:size]
+
+
 def wait_until(condition, timeout=START_TIMEOUT_S):
     """Polls a condition and tells whether it held in time."""
     end = time.monotonic() + timeout
@@ -55,6 +72,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kingcupshed-"))
         self.platform = f"{self.prefix}.0.1:7000"
         self.processes = {}
+        # Control addresses of the targets by service.
+        self.controls = {}
         self.vms = self._make_vms(vms or self.spec["vms"])
         self.targets = self._make_targets()
         self.deployment_file = self.folder / "deployment.json"
@@ -99,9 +118,40 @@
         return self.start("platform", [BUILD / "platform_standin",
                                        self.platform, self.deployment_file])
 
-    def start_targets(self):
-        return self.start("targets",
-                          [BUILD / "target_standin", self.deployment_file])
+    def start_targets(self, options=()):
+        """Starts every target, each service in a process of its own."""
+        for number, service in enumerate(self.spec["services"], start=1):
+            name = service["name"]
+            self.controls[name] = f"{self.prefix}.3.{number}:9100"
+            self.start(f"targets-{name}",
+                       [BUILD / "target_standin", self.deployment_file,
+                        "--service", name, "--control", self.controls[name],
+                        *options])
+
+    def control(self, target, **switches):
+        """Switches targets, named by target, service or '*'."""
+        body = json.dumps({"target": target, **switches}).encode()
+        matched = 0
+        for address in self.controls.values():
+            request = urllib.request.Request(f"http://{address}/control",
+                                             data=body)
+            with urllib.request.urlopen(request, timeout=5) as answer:
+                matched += json.load(answer)["targets"]
+        return matched
+
+    def journal(self):
+        """Returns every piece of work that a target started."""
+        entries = []
+        for address in self.controls.values():
+            entries += json.loads(http_get(address, "/journal", 30)[1])
+        return entries
+
+    def counters(self):
+        """Returns the counts of each target by its name."""
+        counts = {}
+        for address in self.controls.values():
+            counts.update(json.loads(http_get(address, "/counters", 30)[1]))
+        return counts
 
     def start_vm(self, vm):
         """Writes the settings of a VM and starts it."""
@@ -130,9 +180,9 @@
         """Starts everything, publishes the table and waits for every VM."""
         self.start_platform()
         self.start_targets()
-        host, port = self.platform.split(":")
-        if not wait_until(lambda: self._listens(host, int(port))):
-            raise RuntimeError("the platform stand-in does not answer")
+        for address in [self.platform, *self.controls.values()]:
+            if not wait_until(lambda: self._listens(address)):
+                raise RuntimeError(f"nothing listens at {address}")
         published = self.publish()
         if published.returncode != 0:
             raise RuntimeError(published.stderr)
@@ -142,9 +192,10 @@
             raise RuntimeError(f"not every VM got ready; see {self.folder}")
 
     @staticmethod
-    def _listens(host, port):
+    def _listens(address):
+        host, port = address.split(":")
         with socket.socket() as probe:
-            return probe.connect_ex((host, port)) == 0
+            return probe.connect_ex((host, int(port))) == 0
 
     def stop(self):
         """Ends every process that this cluster started."""
--- a/standin/target_standin_main.cc
+++ b/standin/target_standin_main.cc
@@ -1,83 +1,59 @@
-#include <chrono>
 #include <fstream>
-#include <iostream>
 #include <iterator>
-#include <memory>
+#include <list>
 #include <string>
-#include <vector>
 
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
-#include <boost/json/value.hpp>
 
-#include "standin/http_service.h"
+#include "standin/target.h"
 
 namespace {
 
-namespace asio = boost::asio;
-namespace json = boost::json;
-using standin::Request;
-using standin::Response;
-
-constexpr std::chrono::milliseconds kServiceTime{10};
-
-/// One target: a number of slots and a queue in front of them.
-class Target {
- public:
-  Target(asio::io_context& io, std::string name, std::uint64_t slots)
-      : io_(io), name_(std::move(name)), slots_(slots) {}
-
-  asio::awaitable<Response> Handle(Request request) {
-    ++queued_;
-    while (in_flight_ >= slots_) {
-      asio::steady_timer timer(io_, std::chrono::milliseconds(1));
-      co_await timer.async_wait(asio::use_awaitable);
-    }
-    --queued_;
-    ++in_flight_;
-    asio::steady_timer timer(io_, kServiceTime);
-    co_await timer.async_wait(asio::use_awaitable);
-    --in_flight_;
-    Response response;
-    response.headers["Kingcupshed-Load"] =
-        "in_flight=" + std::to_string(in_flight_) +
-        ";queued=" + std::to_string(queued_) +
-        ";slots=" + std::to_string(slots_);
-    response.body = name_ + " " + request.method + " " + request.path + " " +
-                    request.headers["caller"] + " " + request.body + "\n";
-    co_return response;
-  }
-
- private:
-  asio::io_context& io_;
-  std::string name_;
-  std::uint64_t slots_;
-  std::uint64_t in_flight_ = 0;
-  std::uint64_t queued_ = 0;
+struct Options {
+  std::string deployment;
+  std::string service;
+  std::string target;
+  std::string control;
+  std::uint64_t seed = 1;
+  bool fixed = false;
 };
 
+bool IsWanted(const Options& options, const standin::TargetSpec& spec) {
+  return (options.service.empty() || options.service == spec.service) &&
+         (options.target.empty() || options.target == spec.name);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  if (argc != 2) {
-    std::cerr << "usage: target_standin DEPLOYMENT.json\n";
-    return 2;
-  }
-  std::ifstream file(argv[1]);
+  Options options;
+  CLI::App app("Stand-in for the targets of a deployment");
+  app.add_option("deployment", options.deployment, "Deployment file")
+      ->required()
+      ->check(CLI::ExistingFile);
+  app.add_option("--service", options.service, "Run only one service");
+  app.add_option("--target", options.target, "Run only one target");
+  app.add_option("--control", options.control, "Control address");
+  app.add_option("--seed", options.seed, "Seed of the service times");
+  app.add_flag("--fixed", options.fixed, "Service times that never vary");
+  CLI11_PARSE(app, argc, argv);
+  std::ifstream file(options.deployment);
   const std::string text(std::istreambuf_iterator<char>(file), {});
-  const json::value deployment = json::parse(text);
-  asio::io_context io(1);
-  std::vector<std::unique_ptr<Target>> targets;
-  for (const json::value& entry : deployment.at("targets").as_array()) {
-    targets.push_back(
-        std::make_unique<Target>(io, std::string(entry.at("name").as_string()),
-                                 entry.at("slots").to_number<std::uint64_t>()));
-    Target* target = targets.back().get();
-    standin::Serve(
-        io, std::string(entry.at("address").as_string()),
-        [target](const Request& request) { return target->Handle(request); });
+  boost::asio::io_context io(1);
+  std::list<standin::Target> targets;
+  for (standin::TargetSpec& spec :
+       standin::ParseTargets(boost::json::parse(text))) {
+    if (!IsWanted(options, spec)) {
+      continue;
+    }
+    spec.seed = options.seed;
+    spec.exponential = !options.fixed;
+    standin::ServeTarget(io, targets.emplace_back(io, std::move(spec)));
+  }
+  if (!options.control.empty()) {
+    standin::ServeControl(io, options.control, targets);
   }
   io.run();
   return 0;
