Talk to other VMs over gRPC and spread tables and drain marks

The VM serves and calls peers through the callback API; answers are handled on the io_context's thread. Two late calls in a row open a new connection, since the old one may be silent for good. GET /peers shows what is known. Ruled out: finishing calls after the server's shutdown, which left one VM of six hanging at SIGTERM; the server now drains what it handed over first.

--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
 #include "kingcupshed/dispatch/dispatcher.h"
 #include "kingcupshed/http/dispatch_driver.h"
@@ -65,6 +66,7 @@
         platform_(settings.platform, HostOf(settings.listen)),
         dispatcher_(DispatchConfig(runtime_)),
         driver_(runtime_.io, dispatcher_),
+        peering_(runtime_, platform_, MakePeeringHooks()),
         server_(runtime_.io, MakeServerContext()),
         signals_(runtime_.io, SIGTERM, SIGINT) {}
 
@@ -72,17 +74,21 @@
 
  private:
   http::ServerContext MakeServerContext();
+  PeeringHooks MakePeeringHooks();
   std::optional<http::PageAnswer> FindPage(std::string_view path);
   asio::awaitable<void> FollowTable();
   asio::awaitable<void> FollowTargets();
   asio::awaitable<void> StopOnSignal();
   void PutInForce(const table::Table& table);
+  void NoteLeaving(const std::vector<platform::TargetEntry>& entries,
+                   timeline::HybridTime read);
 
   Runtime runtime_;
   platform::Client platform_;
   table::VersionLog versions_;
   dispatch::Dispatcher dispatcher_;
   http::DispatchDriver driver_;
+  Peering peering_;
   std::map<TargetId, std::string> addresses_;
   http::Server server_;
   asio::signal_set signals_;
@@ -98,13 +104,26 @@
           },
           [this](TargetId target) { return addresses_[target]; },
           [this](TargetId target) { return runtime_.targets.NameOf(target); },
-          [this](TargetId target) {
-            dispatcher_.SetLeaving(target, true,
-                                   std::chrono::steady_clock::now());
-          },
+          [this](TargetId target) { peering_.SeeDrainMark(target); },
           [this](std::string_view path) { return FindPage(path); }};
 }
 
+PeeringHooks Daemon::MakePeeringHooks() {
+  PeeringHooks hooks;
+  hooks.set_leaving = [this](TargetId target, bool leaving) {
+    dispatcher_.SetLeaving(target, leaving, std::chrono::steady_clock::now());
+  };
+  hooks.newest_table = [this]() -> std::optional<AcceptedTable> {
+    if (versions_.in_force().version == TableVersion{}) {
+      return std::nullopt;
+    }
+    return AcceptedTable{versions_.in_force().version, versions_.csv(),
+                         versions_.next()};
+  };
+  hooks.adopt_table = [](const AcceptedTable&) {};
+  return hooks;
+}
+
 std::optional<http::PageAnswer> Daemon::FindPage(std::string_view path) {
   if (path == "/healthz") {
     return http::PageAnswer{200, "text/plain", "ok\n"};
@@ -113,6 +132,9 @@
     return runtime_.ready ? http::PageAnswer{200, "text/plain", "ready\n"}
                           : http::PageAnswer{503, "text/plain", "not ready\n"};
   }
+  if (path == "/peers") {
+    return http::PageAnswer{200, "application/json", peering_.RenderPage()};
+  }
   if (path == "/events") {
     http::PageAnswer answer{200, "application/x-ndjson", ""};
     for (const timeline::Event& event : runtime_.recorder.events()) {
@@ -153,10 +175,21 @@
   }
 }
 
+void Daemon::NoteLeaving(const std::vector<platform::TargetEntry>& entries,
+                         timeline::HybridTime read) {
+  std::vector<membership::ListedTarget> listed;
+  for (const platform::TargetEntry& entry : entries) {
+    listed.push_back({runtime_.targets.Intern(entry.name), entry.leaving});
+  }
+  peering_.SetTargetList(listed, read);
+}
+
 asio::awaitable<void> Daemon::FollowTargets() {
   for (;;) {
+    const timeline::HybridTime read = peering_.Now();
     const auto entries = co_await platform_.ListTargets();
     if (entries) {
+      NoteLeaving(*entries, read);
       std::vector<target::TargetInfo> targets;
       for (const platform::TargetEntry& entry : *entries) {
         target::TargetInfo info;
@@ -170,7 +203,7 @@
         info.address = entry.address;
         info.slots = entry.slots;
         info.connections = entry.connections;
-        info.leaving = entry.leaving;
+        info.leaving = peering_.IsLeaving(info.id);
         addresses_[info.id] = info.address;
         targets.push_back(std::move(info));
       }
@@ -185,11 +218,13 @@
   log::Write(log::Severity::kInfo, "daemon", "Stopping.");
   runtime_.ready = false;
   server_.BeginStop();
+  peering_.BeginStop();
   co_await Sleep(runtime_.io, runtime_.settings.stop_grace);
   server_.StopAccepting();
   while (driver_.open_calls() > 0) {
     co_await Sleep(runtime_.io, kStopPoll);
   }
+  peering_.Stop();
   runtime_.io.stop();
 }
 
@@ -200,6 +235,12 @@
         "The address " + runtime_.settings.listen + " could not be bound.");
     return 1;
   }
+  if (!peering_.Start()) {
+    log::Write(log::Severity::kError, "daemon",
+               "The address " + runtime_.settings.peer_listen +
+                   " could not be bound.");
+    return 1;
+  }
   asio::co_spawn(runtime_.io, FollowTable(), asio::detached);
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
   asio::co_spawn(runtime_.io, StopOnSignal(), asio::detached);
--- /dev/null
+++ b/src/kingcupshed/peer/fwd.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace kingcupshed::peer {
+
+namespace wire {
+
+class Gossip;
+class KeptAnswer;
+class KeptAnswerRequest;
+
+}  // namespace wire
+
+class Client;
+class Server;
+
+}  // namespace kingcupshed::peer
