Let callers' keys through by claims on the log

Adapts the claims core to the platform's client and to peers: one reader and at most one append under way per claim stream, a duplicate gets the kept answer from the VM that owns the claim. New settings claim_streams and key_lifetime_ms.

--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/daemon/key_gate.h"
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
 #include "kingcupshed/dispatch/dispatcher.h"
@@ -67,6 +68,7 @@
         dispatcher_(DispatchConfig(runtime_)),
         driver_(runtime_.io, dispatcher_),
         peering_(runtime_, platform_, MakePeeringHooks()),
+        key_gate_(runtime_, platform_, peering_),
         server_(runtime_.io, MakeServerContext()),
         signals_(runtime_.io, SIGTERM, SIGINT) {}
 
@@ -89,6 +91,7 @@
   dispatch::Dispatcher dispatcher_;
   http::DispatchDriver driver_;
   Peering peering_;
+  KeyGate key_gate_;
   std::map<TargetId, std::string> addresses_;
   http::Server server_;
   asio::signal_set signals_;
@@ -121,6 +124,10 @@
                          versions_.next()};
   };
   hooks.adopt_table = [](const AcceptedTable&) {};
+  hooks.find_kept_answer = [this](const peer::wire::KeptAnswerRequest& request,
+                                  peer::wire::KeptAnswer& answer) {
+    key_gate_.FindKeptAnswer(request, answer);
+  };
   return hooks;
 }
 
@@ -224,6 +231,7 @@
   while (driver_.open_calls() > 0) {
     co_await Sleep(runtime_.io, kStopPoll);
   }
+  co_await key_gate_.Drain();
   peering_.Stop();
   runtime_.io.stop();
 }
@@ -241,6 +249,7 @@
                    " could not be bound.");
     return 1;
   }
+  key_gate_.Start();
   asio::co_spawn(runtime_.io, FollowTable(), asio::detached);
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
   asio::co_spawn(runtime_.io, StopOnSignal(), asio::detached);
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -85,8 +85,10 @@
 constexpr std::uint32_t kMaxVms = 4096;
 constexpr std::uint32_t kMaxEvents = 1'000'000;
 constexpr int kMaxGraceMs = 600'000;
+constexpr std::uint32_t kMaxClaimStreams = 64;
+constexpr int kMaxKeyLifetimeMs = 7 * 24 * 3'600'000;
 
-constexpr std::array<Key, 12> kKeys{{
+constexpr std::array<Key, 14> kKeys{{
     {"vm", &ReadText<&Settings::vm>, true},
     {"zone", &ReadText<&Settings::zone>, true},
     {"zones", &ReadZones, true},
@@ -101,6 +103,10 @@
      false},
     {"stop_grace_ms", &ReadMilliseconds<&Settings::stop_grace, kMaxGraceMs>,
      false},
+    {"claim_streams", &ReadCount<&Settings::claim_streams, kMaxClaimStreams>,
+     false},
+    {"key_lifetime_ms",
+     &ReadMilliseconds<&Settings::key_lifetime, kMaxKeyLifetimeMs>, false},
 }};
 
 const Key* FindKey(std::string_view name) noexcept {
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -36,6 +36,12 @@
   std::uint32_t event_capacity = 4096;
   /// Time that a stopping VM goes on accepting for the platform's balancer.
   Duration stop_grace = std::chrono::seconds(2);
+  /// Streams of the log that callers' keys are spread over; the same on every
+  /// VM.
+  std::uint32_t claim_streams = 1;
+  /// Time for which a caller's key is protected; shorter than the time that
+  /// the log keeps records.
+  Duration key_lifetime = std::chrono::hours(1);
 };
 
 /// A fault in a settings file.
