--- a/src/kingcupshed/http/fwd.h
+++ b/src/kingcupshed/http/fwd.h
@@ -4,8 +4,13 @@
 
 struct FetchRequest;
 struct FetchResult;
+struct KeyedCall;
+struct KeyDecision;
+struct Refusal;
 class ActionReceiver;
+class CallMachine;
 class DispatchDriver;
+class KeyGate;
 class Server;
 
 }  // namespace kingcupshed::http
--- a/src/kingcupshed/http/headers.h
+++ b/src/kingcupshed/http/headers.h
@@ -12,6 +12,8 @@
 inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
 /// Id of the call in the time line.
 inline constexpr std::string_view kCallHeader = "Kingcupshed-Call";
+/// Number of services that the call has passed, counted by each of them.
+inline constexpr std::string_view kDepthHeader = "Kingcupshed-Depth";
 /// Hybrid logical time of the sender.
 inline constexpr std::string_view kClockHeader = "Kingcupshed-Clock";
 /// What became of the work: `ran`, `not-run` or `unknown`.
--- /dev/null
+++ b/src/kingcupshed/http/internal/reply.cc
@@ -0,0 +1,60 @@
+#include "kingcupshed/http/internal/reply.h"
+
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "kingcupshed/http/headers.h"
+
+namespace kingcupshed::http {
+
+namespace {
+
+constexpr Duration kWriteTimeout = std::chrono::seconds(30);
+
+using TextResponse = beast::http::response<beast::http::string_body>;
+
+asio::awaitable<bool> Send(beast::tcp_stream& caller, TextResponse response) {
+  response.prepare_payload();
+  caller.expires_after(kWriteTimeout);
+  boost::system::error_code error;
+  co_await beast::http::async_write(
+      caller, response, asio::redirect_error(asio::use_awaitable, error));
+  caller.expires_never();
+  co_return !error && response.keep_alive();
+}
+
+}  // namespace
+
+asio::awaitable<bool> SendRefusal(beast::tcp_stream& caller,
+                                  Refusal refusal,
+                                  bool keep) {
+  TextResponse response(beast::http::int_to_status(refusal.code), 11);
+  response.set(beast::http::field::content_type, "text/plain");
+  response.set(kOutcomeHeader, OutcomeName(refusal.outcome));
+  response.set(kReasonHeader, refusal.reason);
+  if (refusal.retry_after > Duration::zero() &&
+      refusal.outcome == Outcome::kNotRun) {
+    const double seconds = std::ceil(ToSeconds(refusal.retry_after));
+    response.set(beast::http::field::retry_after,
+                 std::to_string(static_cast<std::int64_t>(seconds)));
+  }
+  response.keep_alive(keep);
+  response.body() = std::string(refusal.text) + "\n";
+  co_return co_await Send(caller, std::move(response));
+}
+
+asio::awaitable<bool> SendPage(beast::tcp_stream& caller,
+                               PageAnswer page,
+                               bool keep) {
+  TextResponse response(beast::http::int_to_status(page.code), 11);
+  response.set(beast::http::field::content_type, page.content_type);
+  response.keep_alive(keep);
+  response.body() = std::move(page.body);
+  co_return co_await Send(caller, std::move(response));
+}
+
+}  // namespace kingcupshed::http
--- /dev/null
+++ b/src/kingcupshed/http/internal/server_state.cc
@@ -0,0 +1,67 @@
+#include "kingcupshed/http/internal/server_state.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace kingcupshed::http {
+
+namespace {
+
+constexpr std::size_t kDefaultConnections = 15;
+constexpr int kNameBase = 36;
+
+std::string StartStamp() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  std::array<char, 16> text{};
+  const auto end =
+      std::to_chars(text.data(), text.data() + text.size(), ms, kNameBase);
+  return {text.data(), end.ptr};
+}
+
+PoolContext MakePoolContext(ServerState& state) {
+  const ServerContext& context = state.context;
+  return {context.target_address,
+          [&context](TargetId target) {
+            return context.connection_limit ? context.connection_limit(target)
+                                            : kDefaultConnections;
+          },
+          context.source_address,
+          [&state](TargetId target, std::size_t count) {
+            state.Record("connections_retired", "",
+                         state.context.target_name(target), "",
+                         std::to_string(count) + " silent");
+          }};
+}
+
+}  // namespace
+
+ServerState::ServerState(asio::io_context& io, ServerContext given)
+    : io(io),
+      context(std::move(given)),
+      acceptor(io),
+      pool(io.get_executor(), MakePoolContext(*this)),
+      call_prefix_(context.vm + "-" + StartStamp() + "-") {}
+
+std::string ServerState::NextCallName() {
+  return call_prefix_ + std::to_string(next_call_++);
+}
+
+void ServerState::Record(std::string kind,
+                         const std::string& call,
+                         std::string target,
+                         std::string service,
+                         std::string detail) {
+  timeline::Event event;
+  event.part = "http";
+  event.kind = std::move(kind);
+  event.call = call;
+  event.target = std::move(target);
+  event.service = std::move(service);
+  event.detail = std::move(detail);
+  context.recorder.Record(std::move(event), std::chrono::system_clock::now());
+}
+
+}  // namespace kingcupshed::http
--- /dev/null
+++ b/src/kingcupshed/http/internal/session.cc
@@ -0,0 +1,179 @@
+#include "kingcupshed/http/internal/session.h"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "kingcupshed/http/internal/call.h"
+#include "kingcupshed/http/internal/reply.h"
+#include "kingcupshed/http/internal/request_check.h"
+
+namespace kingcupshed::http {
+
+namespace {
+
+using asio::experimental::awaitable_operators::operator||;
+
+constexpr Duration kHeaderTimeout = std::chrono::seconds(10);
+constexpr Duration kIdleTimeout = std::chrono::seconds(60);
+/// Time for the first request of a connection that came in during a stop.
+constexpr Duration kLastIdleTimeout = std::chrono::seconds(1);
+constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+constexpr std::size_t kMaxLingerBytes = 4UL * 1024 * 1024;
+constexpr std::size_t kFirstRead = 4096;
+
+/// A caller's connection.
+class Session {
+ public:
+  Session(ServerState& server, beast::tcp_stream stream)
+      : server_(server), stream_(std::move(stream)) {
+    ++server_.connections;
+  }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+  ~Session() { --server_.connections; }
+
+  asio::awaitable<void> Run();
+
+ private:
+  asio::awaitable<bool> AwaitRequest();
+  asio::awaitable<void> ReadSome(boost::system::error_code& error);
+  asio::awaitable<boost::system::error_code> ReadHead(RequestParser& request);
+  asio::awaitable<bool> ServeRequest();
+  asio::awaitable<bool> ServeParsed(RequestParser& request);
+  asio::awaitable<void> Linger();
+
+  ServerState& server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  bool served_ = false;
+};
+
+asio::awaitable<void> Session::Run() {
+  // An await within a loop's condition would ignore the short circuit (GCC 12).
+  for (;;) {
+    const bool requested = co_await AwaitRequest();
+    if (!requested) {
+      co_return;
+    }
+    ++server_.active;
+    const bool keep = co_await ServeRequest();
+    --server_.active;
+    if (!keep) {
+      break;
+    }
+  }
+  co_await Linger();
+}
+
+/// Waits for the first bytes of a request.
+asio::awaitable<bool> Session::AwaitRequest() {
+  if (buffer_.size() > 0) {
+    co_return true;
+  }
+  if (server_.closing_idle && served_) {
+    co_return false;
+  }
+  server_.idle.insert(&stream_);
+  stream_.expires_after(server_.closing_idle ? kLastIdleTimeout : kIdleTimeout);
+  boost::system::error_code error;
+  const std::size_t size = co_await stream_.async_read_some(
+      buffer_.prepare(kFirstRead),
+      asio::redirect_error(asio::use_awaitable, error));
+  server_.idle.erase(&stream_);
+  buffer_.commit(size);
+  co_return !error;
+}
+
+asio::awaitable<void> Session::ReadSome(boost::system::error_code& error) {
+  const std::size_t size = co_await stream_.socket().async_read_some(
+      buffer_.prepare(kFirstRead),
+      asio::redirect_error(asio::use_awaitable, error));
+  buffer_.commit(size);
+}
+
+/// Reads the head of a request within the time allowed for it.
+asio::awaitable<boost::system::error_code> Session::ReadHead(
+    RequestParser& request) {
+  asio::steady_timer limit(stream_.get_executor(), kHeaderTimeout);
+  for (;;) {
+    boost::system::error_code error;
+    buffer_.consume(request.put(buffer_.data(), error));
+    if (request.is_header_done() ||
+        (error && error != beast::http::error::need_more)) {
+      co_return request.is_header_done() ? boost::system::error_code() : error;
+    }
+    error = {};
+    const auto first =
+        co_await (ReadSome(error) || limit.async_wait(asio::use_awaitable));
+    if (first.index() == 1) {
+      co_return beast::error::timeout;
+    }
+    if (error) {
+      co_return beast::http::error::end_of_stream;
+    }
+  }
+}
+
+asio::awaitable<bool> Session::ServeRequest() {
+  RequestParser request;
+  request.header_limit(kMaxHeaderSize);
+  request.body_limit(boost::none);
+  stream_.expires_never();
+  const boost::system::error_code error = co_await ReadHead(request);
+  if (error == beast::http::error::end_of_stream) {
+    co_return false;
+  }
+  if (error) {
+    co_await SendRefusal(stream_, RefusalForParseError(error), false);
+    co_return false;
+  }
+  if (const auto refusal = CheckRequest(request)) {
+    co_await SendRefusal(stream_, *refusal, false);
+    co_return false;
+  }
+  served_ = true;
+  co_return co_await ServeParsed(request);
+}
+
+asio::awaitable<bool> Session::ServeParsed(RequestParser& request) {
+  const auto target = request.get().target();
+  if (auto page = server_.context.find_page({target.data(), target.size()})) {
+    const bool keep =
+        request.is_done() && request.get().keep_alive() && !server_.stopping;
+    co_return co_await SendPage(stream_, *std::move(page), keep);
+  }
+  Call call(server_, stream_, buffer_, request);
+  co_return co_await call.Serve();
+}
+
+/// Takes what the caller still sends, so that a reset does not destroy the
+/// last answer on its way.
+asio::awaitable<void> Session::Linger() {
+  boost::system::error_code error;
+  if (!stream_.socket().is_open()) {
+    co_return;
+  }
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  std::array<char, kChunkSize> chunk;
+  std::size_t taken = 0;
+  stream_.expires_after(kLingerTimeout);
+  while (!error && taken < kMaxLingerBytes) {
+    taken += co_await stream_.async_read_some(
+        asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+}  // namespace
+
+asio::awaitable<void> RunSession(std::shared_ptr<ServerState> server,
+                                 beast::tcp_stream stream) {
+  Session session(*server, std::move(stream));
+  co_await session.Run();
+}
+
+}  // namespace kingcupshed::http
--- a/src/kingcupshed/http/server.h
+++ b/src/kingcupshed/http/server.h
@@ -10,11 +10,14 @@
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/core/names.h"
 #include "kingcupshed/http/dispatch_driver.h"
+#include "kingcupshed/http/key_gate.h"
 #include "kingcupshed/table/table.h"
 #include "kingcupshed/timeline/recorder.h"
 
 namespace kingcupshed::http {
 
+struct ServerState;
+
 /// Answer of a page that the VM serves about itself.
 struct PageAnswer {
   unsigned code = 200;
@@ -37,6 +40,14 @@
   std::function<void(TargetId)> on_drain_mark;
   /// Returns the page for a path such as `/healthz`, or nothing.
   std::function<std::optional<PageAnswer>(std::string_view path)> find_page;
+  /// Lets keyed at-most-once work through; null when keys are not claimed.
+  KeyGate* key_gate = nullptr;
+  /// Name of the VM, the start of each call's name.
+  std::string vm{};
+  /// IP number that connections to targets start from; empty for any.
+  std::string source_address{};
+  /// Returns how many connections this VM may hold to a target.
+  std::function<std::size_t(TargetId)> connection_limit{};
 };
 
 /// Serves callers over HTTP/1.1 and passes their calls to targets.
@@ -54,15 +65,18 @@
   /// Closes each connection after the answer under way.
   void BeginStop();
 
-  /// Stops accepting new connections.
+  /// Takes the connections that wait to be accepted, then stops accepting, and
+  /// closes connections that have no request under way.
   void StopAccepting();
 
   /// Returns the number of connections of callers.
   [[nodiscard]] std::size_t connections() const;
 
+  /// Returns the number of requests under way.
+  [[nodiscard]] std::size_t active() const;
+
  private:
-  struct State;
-  std::shared_ptr<State> state_;
+  std::shared_ptr<ServerState> state_;
 };
 
 }  // namespace kingcupshed::http
--- a/standin/target.cc
+++ b/standin/target.cc
@@ -95,7 +95,7 @@
 }
 
 struct Slots::Waiter {
-  Waiter(Slots& slots) : slots(slots), timer(slots.io_) {
+  explicit Waiter(Slots& slots) : slots(slots), timer(slots.io_) {
     slots.waiters_.push_back(this);
   }
   Waiter(const Waiter&) = delete;
--- a/standin/target_connection.cc
+++ b/standin/target_connection.cc
@@ -180,7 +180,7 @@
                                   std::string_view fault);
   template <typename Message>
   void SetHeaders(const Head& head, Message& answer);
-  std::string RefusalFor() const;
+  [[nodiscard]] std::string RefusalFor() const;
 
   Target& target_;
   asio::ip::tcp::socket socket_;
