--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -1,6 +1,6 @@
 #include "kingcupshed/daemon/daemon.h"
 
-#include <csignal>
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -9,12 +9,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
+#include "kingcupshed/daemon/stop_driver.h"
 #include "kingcupshed/dispatch/dispatcher.h"
 #include "kingcupshed/http/dispatch_driver.h"
 #include "kingcupshed/http/server.h"
@@ -32,7 +32,6 @@
 constexpr Duration kReadWait = std::chrono::seconds(10);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kListInterval = std::chrono::seconds(1);
-constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 
 asio::awaitable<void> Sleep(asio::io_context& io, Duration duration) {
   asio::steady_timer timer(io, duration);
@@ -68,7 +67,7 @@
         driver_(runtime_.io, dispatcher_),
         peering_(runtime_, platform_, MakePeeringHooks()),
         server_(runtime_.io, MakeServerContext()),
-        signals_(runtime_.io, SIGTERM, SIGINT) {}
+        stop_driver_(runtime_.io, server_, runtime_.settings.stop_grace) {}
 
   int Run();
 
@@ -78,7 +77,7 @@
   std::optional<http::PageAnswer> FindPage(std::string_view path);
   asio::awaitable<void> FollowTable();
   asio::awaitable<void> FollowTargets();
-  asio::awaitable<void> StopOnSignal();
+  asio::awaitable<void> StopGracefully();
   void PutInForce(const table::Table& table);
   void NoteLeaving(const std::vector<platform::TargetEntry>& entries,
                    timeline::HybridTime read);
@@ -90,8 +89,10 @@
   http::DispatchDriver driver_;
   Peering peering_;
   std::map<TargetId, std::string> addresses_;
+  /// Connections that this VM may hold to each target.
+  std::map<TargetId, std::size_t> connection_limits_;
   http::Server server_;
-  asio::signal_set signals_;
+  StopDriver stop_driver_;
 };
 
 http::ServerContext Daemon::MakeServerContext() {
@@ -105,7 +106,11 @@
           [this](TargetId target) { return addresses_[target]; },
           [this](TargetId target) { return runtime_.targets.NameOf(target); },
           [this](TargetId target) { peering_.SeeDrainMark(target); },
-          [this](std::string_view path) { return FindPage(path); }};
+          [this](std::string_view path) { return FindPage(path); },
+          nullptr,
+          runtime_.settings.vm,
+          HostOf(runtime_.settings.listen),
+          [this](TargetId target) { return connection_limits_[target]; }};
 }
 
 PeeringHooks Daemon::MakePeeringHooks() {
@@ -129,8 +134,9 @@
     return http::PageAnswer{200, "text/plain", "ok\n"};
   }
   if (path == "/readyz") {
-    return runtime_.ready ? http::PageAnswer{200, "text/plain", "ready\n"}
-                          : http::PageAnswer{503, "text/plain", "not ready\n"};
+    return stop_driver_.Ready(runtime_.ready)
+               ? http::PageAnswer{200, "text/plain", "ready\n"}
+               : http::PageAnswer{503, "text/plain", "not ready\n"};
   }
   if (path == "/peers") {
     return http::PageAnswer{200, "application/json", peering_.RenderPage()};
@@ -205,6 +211,8 @@
         info.connections = entry.connections;
         info.leaving = peering_.IsLeaving(info.id);
         addresses_[info.id] = info.address;
+        connection_limits_[info.id] = std::max<std::size_t>(
+            1, info.connections / runtime_.settings.max_vms);
         targets.push_back(std::move(info));
       }
       dispatcher_.SetTargets(std::move(targets));
@@ -213,17 +221,11 @@
   }
 }
 
-asio::awaitable<void> Daemon::StopOnSignal() {
-  co_await signals_.async_wait(asio::use_awaitable);
-  log::Write(log::Severity::kInfo, "daemon", "Stopping.");
-  runtime_.ready = false;
-  server_.BeginStop();
-  peering_.BeginStop();
-  co_await Sleep(runtime_.io, runtime_.settings.stop_grace);
-  server_.StopAccepting();
-  while (driver_.open_calls() > 0) {
-    co_await Sleep(runtime_.io, kStopPoll);
-  }
+asio::awaitable<void> Daemon::StopGracefully() {
+  co_await stop_driver_.Run([this] {
+    runtime_.ready = false;
+    peering_.BeginStop();
+  });
   peering_.Stop();
   runtime_.io.stop();
 }
@@ -243,7 +245,7 @@
   }
   asio::co_spawn(runtime_.io, FollowTable(), asio::detached);
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
-  asio::co_spawn(runtime_.io, StopOnSignal(), asio::detached);
+  asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
   log::Write(log::Severity::kInfo, "daemon",
              "VM " + runtime_.settings.vm + " serves callers at " +
                  runtime_.settings.listen + ".");
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -97,6 +97,7 @@
 }
 
 void Attempt::NoteSent(std::size_t bytes) {
+  bytes_ += bytes;
   if (bytes > 0) {
     sent_ = true;
     machine_.Sent(id_);
@@ -158,6 +159,7 @@
       break;
     }
     piece = {chunk.data(), co_await request_.body->ReadMore(chunk)};
+    bytes_ += piece.size();
     if (request_.body->failed()) {
       co_return false;
     }
@@ -233,6 +235,7 @@
   co_await beast::http::async_read(
       lease_->stream, lease_->buffer, *response_,
       asio::redirect_error(asio::use_awaitable, error));
+  bytes_ += body_.size();
   co_return response_->is_done();
 }
 
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -66,6 +66,10 @@
   [[nodiscard]] const std::string& body() const noexcept { return body_; }
   /// Connection that the rest of a long body comes on.
   [[nodiscard]] TargetPool::Lease& lease() noexcept { return lease_; }
+  /// Counts bytes of the answer that were passed on.
+  void AddBytes(std::uint64_t bytes) noexcept { bytes_ += bytes; }
+  /// Returns the bytes of request and answer so far.
+  [[nodiscard]] std::uint64_t bytes() const noexcept { return bytes_; }
   /// Keeps the connection if the answer was whole and it may be used again.
   void Finish();
 
@@ -91,6 +95,7 @@
   std::unique_ptr<ResponseParser> response_;
   std::string body_;
   std::optional<LoadReport> load_;
+  std::uint64_t bytes_ = 0;
   bool draining_ = false;
   bool sent_ = false;
   bool sent_whole_ = false;
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -276,6 +276,9 @@
 }
 
 asio::awaitable<bool> Call::PassOn(Attempt& attempt) {
+  if (attempt.draining()) {
+    server_.context.on_drain_mark(attempt.target());
+  }
   server_.Record("call_answered", outgoing_.call,
                  server_.context.target_name(attempt.target()), service_name_,
                  std::to_string(attempt.response().get().result_int()));
@@ -340,6 +343,7 @@
                             response, resumable ? kResumableStall : kBodyStall);
   }
   passing_ = nullptr;
+  attempt.AddBytes(relay.passed());
   const bool kept_whole =
       end == RelayEnd::kWhole && relay.passed() == relay.kept().size();
   FinishKey(kept_whole ? Outcome::kRan : Outcome::kUnknown,
@@ -405,6 +409,7 @@
                                 kResumableStall);
       passing_ = nullptr;
     }
+    attempt->AddBytes(relay.passed() - from);
     if (end == RelayEnd::kWhole) {
       race_->Finish(AttemptResult::kAnswered);
       co_return true;
--- a/src/kingcupshed/http/internal/race.cc
+++ b/src/kingcupshed/http/internal/race.cc
@@ -76,8 +76,10 @@
   co_await AwaitRunning();
   if (winner_ == nullptr) {
     refusal_.outcome = machine_.outcome();
-    if (refusal_.reason == RefuseReason::kOutcomeUnknown) {
-      refusal_.outcome = Outcome::kUnknown;
+    if (refusal_.reason == RefuseReason::kOutcomeUnknown &&
+        refusal_.outcome == Outcome::kNotRun) {
+      // Nothing was sent, whatever the dispatcher had to suppose.
+      refusal_.reason = RefuseReason::kDeadline;
     }
     context_.driver.Close(call_);
     open_ = false;
@@ -145,10 +147,11 @@
 }
 
 void Race::PostEnded(AttemptId id, AttemptResult result) {
-  dispatch::AttemptEnded ended{call_, id, result, std::nullopt};
+  dispatch::AttemptEnded ended{call_, id, result, std::nullopt, 0};
   const auto found = attempts_.find(id);
   if (found != attempts_.end()) {
     ended.load = found->second->load();
+    ended.bytes = found->second->bytes();
     context_.on_ended(*found->second, result);
   }
   context_.driver.Post(ended);
