--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -1,6 +1,6 @@
 #include "kingcupshed/daemon/daemon.h"
 
-#include <csignal>
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -9,13 +9,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "kingcupshed/daemon/key_gate.h"
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
+#include "kingcupshed/daemon/stop_driver.h"
 #include "kingcupshed/dispatch/dispatcher.h"
 #include "kingcupshed/http/dispatch_driver.h"
 #include "kingcupshed/http/server.h"
@@ -33,7 +33,6 @@
 constexpr Duration kReadWait = std::chrono::seconds(10);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kListInterval = std::chrono::seconds(1);
-constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 
 asio::awaitable<void> Sleep(asio::io_context& io, Duration duration) {
   asio::steady_timer timer(io, duration);
@@ -70,7 +69,7 @@
         peering_(runtime_, platform_, MakePeeringHooks()),
         key_gate_(runtime_, platform_, peering_),
         server_(runtime_.io, MakeServerContext()),
-        signals_(runtime_.io, SIGTERM, SIGINT) {}
+        stop_driver_(runtime_.io, server_, runtime_.settings.stop_grace) {}
 
   int Run();
 
@@ -80,7 +79,7 @@
   std::optional<http::PageAnswer> FindPage(std::string_view path);
   asio::awaitable<void> FollowTable();
   asio::awaitable<void> FollowTargets();
-  asio::awaitable<void> StopOnSignal();
+  asio::awaitable<void> StopGracefully();
   void PutInForce(const table::Table& table);
   void NoteLeaving(const std::vector<platform::TargetEntry>& entries,
                    timeline::HybridTime read);
@@ -93,8 +92,10 @@
   Peering peering_;
   KeyGate key_gate_;
   std::map<TargetId, std::string> addresses_;
+  /// Connections that this VM may hold to each target.
+  std::map<TargetId, std::size_t> connection_limits_;
   http::Server server_;
-  asio::signal_set signals_;
+  StopDriver stop_driver_;
 };
 
 http::ServerContext Daemon::MakeServerContext() {
@@ -108,7 +109,11 @@
           [this](TargetId target) { return addresses_[target]; },
           [this](TargetId target) { return runtime_.targets.NameOf(target); },
           [this](TargetId target) { peering_.SeeDrainMark(target); },
-          [this](std::string_view path) { return FindPage(path); }};
+          [this](std::string_view path) { return FindPage(path); },
+          &key_gate_,
+          runtime_.settings.vm,
+          HostOf(runtime_.settings.listen),
+          [this](TargetId target) { return connection_limits_[target]; }};
 }
 
 PeeringHooks Daemon::MakePeeringHooks() {
@@ -136,8 +141,9 @@
     return http::PageAnswer{200, "text/plain", "ok\n"};
   }
   if (path == "/readyz") {
-    return runtime_.ready ? http::PageAnswer{200, "text/plain", "ready\n"}
-                          : http::PageAnswer{503, "text/plain", "not ready\n"};
+    return stop_driver_.Ready(runtime_.ready)
+               ? http::PageAnswer{200, "text/plain", "ready\n"}
+               : http::PageAnswer{503, "text/plain", "not ready\n"};
   }
   if (path == "/peers") {
     return http::PageAnswer{200, "application/json", peering_.RenderPage()};
@@ -212,6 +218,8 @@
         info.connections = entry.connections;
         info.leaving = peering_.IsLeaving(info.id);
         addresses_[info.id] = info.address;
+        connection_limits_[info.id] = std::max<std::size_t>(
+            1, info.connections / runtime_.settings.max_vms);
         targets.push_back(std::move(info));
       }
       dispatcher_.SetTargets(std::move(targets));
@@ -220,17 +228,11 @@
   }
 }
 
-asio::awaitable<void> Daemon::StopOnSignal() {
-  co_await signals_.async_wait(asio::use_awaitable);
-  log::Write(log::Severity::kInfo, "daemon", "Stopping.");
-  runtime_.ready = false;
-  server_.BeginStop();
-  peering_.BeginStop();
-  co_await Sleep(runtime_.io, runtime_.settings.stop_grace);
-  server_.StopAccepting();
-  while (driver_.open_calls() > 0) {
-    co_await Sleep(runtime_.io, kStopPoll);
-  }
+asio::awaitable<void> Daemon::StopGracefully() {
+  co_await stop_driver_.Run([this] {
+    runtime_.ready = false;
+    peering_.BeginStop();
+  });
   co_await key_gate_.Drain();
   peering_.Stop();
   runtime_.io.stop();
@@ -252,7 +254,7 @@
   key_gate_.Start();
   asio::co_spawn(runtime_.io, FollowTable(), asio::detached);
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
-  asio::co_spawn(runtime_.io, StopOnSignal(), asio::detached);
+  asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
   log::Write(log::Severity::kInfo, "daemon",
              "VM " + runtime_.settings.vm + " serves callers at " +
                  runtime_.settings.listen + ".");
