--- a/src/kingcupshed/daemon/key_gate.cc
+++ b/src/kingcupshed/daemon/key_gate.cc
@@ -151,8 +151,10 @@
   } else {
     const std::string key = FullKey(call);
     Partition& partition = PartitionOf(key);
-    once::Decision claimed = co_await AwaitDecision(
-        partition, {key, call.fingerprint, call.deadline});
+    // Named, since the compiler destroys such temporaries of a co_await twice.
+    once::Request request{key, call.fingerprint, call.deadline};
+    once::Decision claimed =
+        co_await AwaitDecision(partition, std::move(request));
     if (claimed.kind == Decision::Kind::kDuplicate) {
       decision = co_await AwaitFirstRun(call, std::move(claimed));
     } else if (claimed.kind == Decision::Kind::kRefused) {
