--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -87,8 +87,7 @@
     parser.add_argument("--stay", action="store_true",
                         help="leave it up and print its addresses")
     options = parser.parse_args()
-    vms = max(LEAST_VMS, options.vms)
-    cluster = Cluster(options.deployment, vms=vms, settings={"max_vms": vms})
+    cluster = Cluster(options.deployment, vms=max(LEAST_VMS, options.vms))
     try:
         cluster.start_all()
         addresses = [vm["address"] for vm in cluster.vms]
--- /dev/null
+++ b/src/kingcupshed/credit/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace kingcupshed::credit {
+
+struct Transfer;
+class Ledger;
+
+}  // namespace kingcupshed::credit
