--- a/src/kingcupshed/admission/rank_queues.cc
+++ b/src/kingcupshed/admission/rank_queues.cc
@@ -9,6 +9,9 @@
 /// Most slot time that a rank can claim at once, so that a long wait does not
 /// turn into a long run ahead of urgent work.
 constexpr Duration kLargestClaim = std::chrono::milliseconds(200);
+/// Claims of ranks below the most urgent one grow a little faster than their
+/// share, so that VMs where few of their calls wait do not leave them short.
+constexpr double kLowerClaimFactor = 1.05;
 /// A queue counts as overloaded once its oldest call has waited for this share
 /// of the time that it was given.
 constexpr int kOverloadDivisor = 4;
@@ -56,10 +59,8 @@
     if (queue.calls.empty() || !allowed[RankIndex(rank)]) {
       continue;
     }
-    if (HasClaim(rank)) {
-      return rank;
-    }
-    if (!first) {
+    if (!first ||
+        (HasClaim(rank) && queue.claim > queues_[RankIndex(*first)].claim)) {
       first = rank;
     }
   }
@@ -92,7 +93,9 @@
       queue.claim = std::min(queue.claim, Duration::zero());
       continue;
     }
-    const double share = queue.share.weight / total_weight_;
+    const bool first = &queue == queues_.data();
+    const double share =
+        queue.share.weight / total_weight_ * (first ? 1.0 : kLowerClaimFactor);
     queue.claim += FromSeconds(ToSeconds(slot_time) * share);
     queue.claim = std::min(queue.claim, kLargestClaim);
   }
--- a/src/kingcupshed/admission/rank_queues.h
+++ b/src/kingcupshed/admission/rank_queues.h
@@ -31,8 +31,9 @@
 
 /// Bounded queues of one service, one per rank.
 ///
-/// Serves the most urgent rank first, save that a waiting rank which got less
-/// slot time than its weight's share since it began to wait goes first.
+/// Serves the most urgent rank first, save that of the waiting ranks which got
+/// less slot time than their weight's share since they began to wait, the one
+/// that lacks most goes first.
 class RankQueues {
  public:
   /// Sets shares and limits; waiting calls stay, also above a new limit.
--- a/src/kingcupshed/dispatch/counters.h
+++ b/src/kingcupshed/dispatch/counters.h
@@ -39,6 +39,8 @@
   std::uint64_t probes = 0;
   /// Attempts that this VM may have in flight at near targets.
   double window = 0.0;
+  /// The same for calls that do not go first.
+  double spare_window = 0.0;
 };
 
 /// What this VM knows of a target, as used for its score.
--- a/src/kingcupshed/dispatch/internal/attempts.cc
+++ b/src/kingcupshed/dispatch/internal/attempts.cc
@@ -16,8 +16,10 @@
 constexpr std::uint32_t kNotSentToEject = 2;
 constexpr std::uint32_t kLostToEject = 3;
 constexpr std::uint32_t kRefusedToEject = 5;
-/// Calls in a target's own queue that show that the fleet sends too much.
-constexpr std::uint32_t kQueuedSign = 2;
+/// Calls in a target's own queue that show that the fleet sends too much, for
+/// calls that go first and for the others.
+constexpr std::uint32_t kQueuedSign = 6;
+constexpr std::uint32_t kSpareQueuedSign = 1;
 /// Gain of the smoothed slot time and size of a row.
 constexpr double kRowGain = 0.05;
 
@@ -122,11 +124,17 @@
   if (member.distance == routing::Distance::kRemote) {
     return;
   }
+  const Duration round = UsualLatency(member.info.service);
   if (load.queued >= kQueuedSign) {
-    service.window.Shrink(now_, UsualLatency(member.info.service));
+    service.window.Shrink(now_, round);
   } else if (load.queued == 0) {
     service.window.Grow();
   }
+  if (load.queued >= kSpareQueuedSign) {
+    service.spare_window.Shrink(now_, round);
+  } else if (load.in_flight < member.info.slots) {
+    service.spare_window.Grow();
+  }
 }
 
 void Engine::TakeFailure(Call& call,
@@ -140,7 +148,9 @@
   if (result == AttemptResult::kRefused) {
     const Duration round = UsualLatency(call.request.service);
     member->limit.Shrink(now_, round);
-    services_[call.request.service].window.Shrink(now_, round);
+    ServiceState& service = services_[call.request.service];
+    service.window.Shrink(now_, round);
+    service.spare_window.Shrink(now_, round);
   }
   if (member->evidence.failures() >= FailuresToEject(result)) {
     pool_.TryEject(attempt.target, now_);
--- a/src/kingcupshed/dispatch/internal/engine.cc
+++ b/src/kingcupshed/dispatch/internal/engine.cc
@@ -15,6 +15,8 @@
 /// Attempts above the window for the rank that goes first, so that it seldom
 /// waits for an attempt of another rank to end.
 constexpr double kFirstExtraAttempts = 1.0;
+/// Shares of the serving slots that a VM may use before it knows more.
+constexpr double kStartShares = 2.0;
 /// Wait that is told to a caller whose call found a full queue or no target.
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
@@ -212,17 +214,18 @@
 
 std::array<bool, kRankCount> Engine::StartableRanks(ServiceId id,
                                                     ServiceState& service) {
-  std::array<bool, kRankCount> allowed{};
-  double used = 0.0;
-  if (policy_->controls_load()) {
-    used = pool_.NearInFlight(id, now_);
+  if (!policy_->controls_load()) {
+    return {true, true, true};
   }
+  std::array<bool, kRankCount> allowed{};
+  const double used = pool_.NearInFlight(id, now_);
   for (const Rank rank : kRanks) {
     const bool goes_first =
         rank == Rank::kUrgent || service.queues.HasClaim(rank);
-    const double extra = goes_first ? kFirstExtraAttempts : 0.0;
-    const bool fits = !policy_->controls_load() ||
-                      used + 1.0 <= service.window.value() + extra;
+    const double most = goes_first
+                            ? service.window.value() + kFirstExtraAttempts
+                            : service.spare_window.value();
+    const bool fits = used + 1.0 <= most;
     RowState& row = service.rows[RankIndex(rank)];
     allowed[RankIndex(rank)] = fits && row.limits.MayStart(now_);
   }
@@ -347,10 +350,13 @@
   const double least = std::max(1.0, share);
   if (!service.window_ready) {
     service.window_ready = true;
-    service.window = target::ConcurrencyLimit(least, slots, 2.0 * least + 2.0);
+    const double start = kStartShares * least + kFirstExtraAttempts;
+    service.window = target::ConcurrencyLimit(least, slots, start);
+    service.spare_window = service.window;
     return;
   }
   service.window.SetRange(least, slots);
+  service.spare_window.SetRange(least, slots);
 }
 
 void Engine::SendProbes(ServiceId id, ServiceState& service) {
@@ -398,6 +404,7 @@
     }
     out.probes = service.probes;
     out.window = service.window.value();
+    out.spare_window = service.spare_window.value();
   }
   for (const auto& [service, group] : pool_.groups()) {
     for (const TargetId id : group.members) {
--- a/src/kingcupshed/dispatch/internal/service_state.h
+++ b/src/kingcupshed/dispatch/internal/service_state.h
@@ -32,8 +32,13 @@
 struct ServiceState {
   std::array<RowState, kRankCount> rows;
   admission::RankQueues queues;
-  /// Attempts that this VM may have in flight at targets of its region.
+  /// Attempts that this VM may have in flight at targets of its region while
+  /// it starts a call that goes first: an urgent one, or one of a rank that got
+  /// less than its share.
   target::ConcurrencyLimit window;
+  /// The same for other calls. It keeps the targets' own queues empty, so that
+  /// an urgent call finds nothing ahead of it.
+  target::ConcurrencyLimit spare_window;
   bool window_ready = false;
   std::uint64_t probes = 0;
 };
--- a/src/kingcupshed/routing/region_scan.cc
+++ b/src/kingcupshed/routing/region_scan.cc
@@ -45,7 +45,6 @@
 double RegionScan::Score(const TargetView& target,
                          const Request& request) const noexcept {
   double score = target.in_flight + DistanceCost(target.distance, request);
-  score += weights_.stall * target.stalled;
   score += weights_.start * (1.0 - target.start_share);
   if (weights_.report > 0.0) {
     score += weights_.report * ReportedExcess(target, weights_.report_decay);
--- a/src/kingcupshed/routing/region_scan.h
+++ b/src/kingcupshed/routing/region_scan.h
@@ -6,8 +6,6 @@
 
 /// Weights of the score of `RegionScan`, in attempts in flight.
 struct ScanWeights {
-  /// Added for each attempt that runs for longer than expected.
-  double stall = 3.0;
   /// Added for a target that has just started, falling to zero.
   double start = 2.0;
   /// Added for each call over the slots in a fresh report.
@@ -17,7 +15,7 @@
 };
 
 /// Scans all targets of the region for the least cost: own attempts in flight,
-/// distance and own stalled attempts. Holds the call when every target is
+/// distance and slow start. Holds the call when every target is
 /// believed full.
 class RegionScan final : public Policy {
  public:
--- a/src/kingcupshed/target/health.cc
+++ b/src/kingcupshed/target/health.cc
@@ -68,16 +68,15 @@
 struct Definition : msm::front::state_machine_def<Definition> {
   using initial_state = Starting;
 
-  struct transition_table
-      : boost::mpl::vector<
-            Row<Starting, AdvanceEvent, Live, ForgetEjections, IsDue>,
-            Row<Starting, EjectEvent, Ejected, BeginEjection, none>,
-            Row<Starting, LeaveEvent, Leaving, none, none>,
-            Row<Live, EjectEvent, Ejected, BeginEjection, none>,
-            Row<Live, LeaveEvent, Leaving, none, none>,
-            Row<Ejected, AdvanceEvent, Starting, BeginStart, IsDue>,
-            Row<Ejected, LeaveEvent, Leaving, none, none>,
-            Row<Leaving, ReturnEvent, Starting, BeginStart, none>> {};
+  using transition_table = boost::mpl::vector<
+      Row<Starting, AdvanceEvent, Live, ForgetEjections, IsDue>,
+      Row<Starting, EjectEvent, Ejected, BeginEjection, none>,
+      Row<Starting, LeaveEvent, Leaving, none, none>,
+      Row<Live, EjectEvent, Ejected, BeginEjection, none>,
+      Row<Live, LeaveEvent, Leaving, none, none>,
+      Row<Ejected, AdvanceEvent, Starting, BeginStart, IsDue>,
+      Row<Ejected, LeaveEvent, Leaving, none, none>,
+      Row<Leaving, ReturnEvent, Starting, BeginStart, none>>;
 
   template <typename Fsm, typename Event>
   void no_transition(const Event& /*event*/, Fsm& /*fsm*/, int /*state*/) {}
--- a/src/kingcupshed/target/pool.cc
+++ b/src/kingcupshed/target/pool.cc
@@ -20,7 +20,7 @@
 constexpr double kLargestEjectedShare = 0.34;
 /// Attempts beyond the slots that are sent to a target of the own region, so
 /// that the way back and forth leaves no slot idle.
-constexpr std::uint32_t kNearExtraAttempts = 1;
+constexpr std::uint32_t kNearExtraAttempts = 2;
 /// Attempts at once to a target that has just started.
 constexpr std::uint32_t kStartLimit = 1;
 
