--- a/test/kingcupshed/measure/probe_budget.cc
+++ b/test/kingcupshed/measure/probe_budget.cc
@@ -69,7 +69,9 @@
         Lend(vm, now);
         break;
       default:
-        Probe(vm, now);
+        for (std::size_t each = 0; each < kMostVms; ++each) {
+          Probe(each, now);
+        }
     }
   }
 
@@ -87,7 +89,7 @@
     if (!vms_[vm]) {
       return;
     }
-    const TimePoint until = now + milliseconds(*rc::gen::inRange(0, 1001));
+    const TimePoint until = now + milliseconds(*rc::gen::element(0, 500, 1000));
     const Duration wanted = milliseconds(*rc::gen::inRange(1, 30));
     const Duration given = vms_[vm]->GiveUp(wanted, now, until);
     if (given > Duration::zero() && *rc::gen::inRange(0, 4) > 0) {
@@ -110,7 +112,7 @@
   }
 
   void Probe(std::size_t vm, TimePoint now) {
-    const Duration cost = milliseconds(*rc::gen::inRange(1, 7));
+    const Duration cost = milliseconds(*rc::gen::inRange(1, 3));
     while (vms_[vm] && vms_[vm]->TrySpend(cost, now)) {
       const Duration delay = milliseconds(*rc::gen::inRange(0, 31));
       arrivals_.push_back({now + delay, cost});
@@ -137,6 +139,25 @@
   BOOST_TEST(probes >= 5 * 10);
 }
 
+BOOST_AUTO_TEST_CASE(LentTimeStaysInUseUntilTheBorrowersWindowHasPassed) {
+  ProbeBudget lender(kStart);
+  lender.Configure(milliseconds(40), 4);
+  const TimePoint lent = kStart + seconds(5);
+  const TimePoint until = lent + kCreditValidity;
+  const Duration given = lender.GiveUp(milliseconds(10), lent, until);
+  BOOST_TEST((given == milliseconds(10)));
+  BOOST_TEST(!lender.TrySpend(milliseconds(1), until + milliseconds(999)));
+  BOOST_TEST(lender.TrySpend(milliseconds(1), until + kBudgetWindow));
+}
+
+BOOST_AUTO_TEST_CASE(CreditEndsWithItsValidity) {
+  ProbeBudget borrower(kStart);
+  borrower.Configure(Duration::zero(), 4);
+  borrower.AddCredit(milliseconds(10), kStart + seconds(1));
+  BOOST_TEST(borrower.TrySpend(milliseconds(4), kStart));
+  BOOST_TEST(!borrower.TrySpend(milliseconds(4), kStart + seconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Promise1)
