Keep the table's version exact across retention, outages and restarts

Cause: a reader that started after retention had dropped the publications had no way to the version in force, and a VM took only what the log said. Now a checkpoint says which version was in force before an offset; a reader with a gap holds publications until a checkpoint or a peer's news covers the gap, and says that it is not exact meanwhile. Record ids were ruled out as the rule for repeats: a reader that starts at a checkpoint does not know the ids before it. The base rule alone makes a repeat a no-op.

--- a/src/kingcupshed/cli/table_command.cc
+++ b/src/kingcupshed/cli/table_command.cc
@@ -90,8 +90,9 @@
                         ? TableVersion{static_cast<std::uint64_t>(options.base)}
                         : versions->in_force().version;
   const std::string id = NewRecordId();
-  const auto append = Await(client.Append(
-      kTableStream, {{id, table::ToPayload({base, options.author, *csv})}}));
+  const auto append = Await(
+      client.Append(kTableStream, {{id, table::ToPayload(table::Publication{
+                                            base, options.author, *csv})}}));
   if (append.status != platform::Status::kDone) {
     std::cerr << options.platform << ": the append failed\n";
     return ExitStatus::kFailed;
--- /dev/null
+++ b/src/kingcupshed/table/follower.cc
@@ -0,0 +1,83 @@
+#include "kingcupshed/table/follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupshed::table {
+
+namespace {
+
+constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
+constexpr Duration kLongestRetry = std::chrono::seconds(1);
+/// Time that a starting VM listens to its peers in an outage, so that one
+/// stale peer does not decide.
+constexpr Duration kNewsSettle = std::chrono::seconds(1);
+
+}  // namespace
+
+Follower::Follower(FollowerConfig config)
+    : schedule_(std::move(config.vm), config.checkpoint_interval),
+      retry_delay_(kFirstRetry) {}
+
+FollowerOutcome Follower::OnPage(LogOffset from,
+                                 const LogPage& page,
+                                 TimePoint now) {
+  FollowerOutcome outcome;
+  retry_delay_ = kFirstRetry;
+  if (page.end < from) {
+    outcome.log_went_back = true;
+    return outcome;
+  }
+  const TableVersion before = versions_.in_force().version;
+  versions_.SkipTo(page.first);
+  for (const LogRecord& record : page.records) {
+    if (versions_.Apply(record) == Verdict::kContradicts) {
+      outcome.contradiction = true;
+    }
+  }
+  outcome.changed = versions_.in_force().version != before;
+  const bool at_end = versions_.next() >= page.end;
+  caught_up_ = caught_up_ || (at_end && HasVersion());
+  if (at_end) {
+    schedule_.Observe(versions_, page.first, page.end, now);
+  }
+  return outcome;
+}
+
+Duration Follower::OnReadFailed(TimePoint now) {
+  const bool settled = news_since_ && now - *news_since_ >= kNewsSettle;
+  caught_up_ = caught_up_ || (settled && HasVersion());
+  return std::exchange(retry_delay_, std::min(2 * retry_delay_, kLongestRetry));
+}
+
+FollowerOutcome Follower::OnNews(const Checkpoint& news, TimePoint now) {
+  FollowerOutcome outcome;
+  if (!news_since_) {
+    news_since_ = now;
+  }
+  const TableVersion before = versions_.in_force().version;
+  outcome.contradiction = versions_.Adopt(news) == Verdict::kContradicts;
+  outcome.changed = versions_.in_force().version != before;
+  return outcome;
+}
+
+std::optional<Checkpoint> Follower::NewsForPeers() const {
+  if (!HasVersion()) {
+    return std::nullopt;
+  }
+  return versions_.ToCheckpoint();
+}
+
+void Follower::OnCheckpoint(bool written, TimePoint now) {
+  if (written) {
+    schedule_.OnWritten(now);
+  } else {
+    schedule_.OnFailed(now);
+  }
+}
+
+bool Follower::HasVersion() const noexcept {
+  return versions_.exact() && versions_.in_force().version != TableVersion{};
+}
+
+}  // namespace kingcupshed::table
--- a/test/kingcupshed/table/version_log.cc
+++ b/test/kingcupshed/table/version_log.cc
@@ -19,7 +19,7 @@
 
 LogRecord MakeRecord(std::uint64_t offset, std::uint64_t base) {
   return {LogOffset{offset}, "id-" + std::to_string(offset),
-          ToPayload({TableVersion{base}, "operator", kCsv})};
+          ToPayload(Publication{TableVersion{base}, "operator", kCsv})};
 }
 
 }  // namespace
@@ -33,6 +33,67 @@
   BOOST_TEST((versions.in_force().version == TableVersion{1}));
 }
 
+BOOST_AUTO_TEST_CASE(ReaderAfterRetentionReachesTheSameVersion) {
+  VersionLog whole;
+  whole.Apply(MakeRecord(0, 0));
+  const LogRecord checkpoint{LogOffset{1}, "c",
+                             ToPayload(whole.ToCheckpoint())};
+  whole.Apply(checkpoint);
+  whole.Apply(MakeRecord(2, 1));
+  VersionLog late;
+  late.SkipTo(LogOffset{1});
+  BOOST_TEST(!late.exact());
+  BOOST_TEST((late.Apply(checkpoint) == Verdict::kAnchored));
+  late.Apply(MakeRecord(2, 1));
+  BOOST_TEST(late.exact());
+  BOOST_TEST((late.in_force().version == TableVersion{2}));
+  BOOST_TEST((whole.in_force().version == TableVersion{2}));
+}
+
+BOOST_AUTO_TEST_CASE(PublicationBesideItsCheckpointIsReplayed) {
+  VersionLog writer;
+  writer.Apply(MakeRecord(0, 0));
+  const Checkpoint checkpoint = writer.ToCheckpoint();
+  // A publication gets in between the writer's read and its append.
+  VersionLog late;
+  late.SkipTo(LogOffset{1});
+  BOOST_TEST((late.Apply(MakeRecord(1, 1)) == Verdict::kUndecided));
+  late.Apply({LogOffset{2}, "c", ToPayload(checkpoint)});
+  BOOST_TEST(late.exact());
+  BOOST_TEST((late.in_force().version == TableVersion{2}));
+}
+
+BOOST_AUTO_TEST_CASE(CheckpointOlderThanTheGapIsOnlyALowerBound) {
+  VersionLog writer;
+  writer.Apply(MakeRecord(0, 0));
+  VersionLog late;
+  late.SkipTo(LogOffset{2});
+  late.Apply({LogOffset{2}, "c", ToPayload(writer.ToCheckpoint())});
+  BOOST_TEST((late.in_force().version == TableVersion{1}));
+  BOOST_TEST(!late.exact());
+  BOOST_TEST((late.Apply(MakeRecord(3, 1)) == Verdict::kUndecided));
+}
+
+BOOST_AUTO_TEST_CASE(StaleNewsIsIgnoredAndFreshNewsRunsAheadOfTheLog) {
+  VersionLog versions;
+  versions.Apply(MakeRecord(0, 0));
+  const Checkpoint old = versions.ToCheckpoint();
+  BOOST_TEST((versions.Adopt({TableVersion{2}, "x", kCsv, LogOffset{3}}) ==
+              Verdict::kAnchored));
+  BOOST_TEST((versions.Adopt(old) == Verdict::kIgnored));
+  BOOST_TEST((versions.Apply(MakeRecord(1, 1)) == Verdict::kIgnored));
+  BOOST_TEST((versions.in_force().version == TableVersion{2}));
+  BOOST_TEST((versions.next() == LogOffset{3}));
+}
+
+BOOST_AUTO_TEST_CASE(NewsThatContradictsTheLogIsNotTaken) {
+  VersionLog versions;
+  versions.Apply(MakeRecord(0, 0));
+  BOOST_TEST((versions.Adopt({TableVersion{5}, "x", kCsv, LogOffset{1}}) ==
+              Verdict::kContradicts));
+  BOOST_TEST((versions.in_force().version == TableVersion{1}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Promise7)
