Follow the table by short reads, checkpoints and peers; check settings whole

A read that waited 12 s on a connection gone silent could miss the 4 s bound, so reads now wait 1.5 s and are given up after 2.5 s; one patient read of 30 s runs beside them for a log that is only slow. A VM that starts in an outage serves once it has heard its peers for a second. An append whose answer is a 500 or is cut off counts as unknown, no longer as not done.

Settings: addresses, policy, log level, zone, duplicate keys and ranges are checked; an unknown key names the nearest known one.

--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -15,12 +15,12 @@
 
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
+#include "kingcupshed/daemon/table_follower.h"
 #include "kingcupshed/dispatch/dispatcher.h"
 #include "kingcupshed/http/dispatch_driver.h"
 #include "kingcupshed/http/server.h"
 #include "kingcupshed/log/log.h"
 #include "kingcupshed/platform/client.h"
-#include "kingcupshed/table/version_log.h"
 
 namespace kingcupshed::daemon {
 
@@ -28,9 +28,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::string_view kTableStream = "table";
-constexpr Duration kReadWait = std::chrono::seconds(10);
-constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kListInterval = std::chrono::seconds(1);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 
@@ -66,6 +63,7 @@
         platform_(settings.platform, HostOf(settings.listen)),
         dispatcher_(DispatchConfig(runtime_)),
         driver_(runtime_.io, dispatcher_),
+        table_follower_(runtime_, platform_, MakeTableHooks()),
         peering_(runtime_, platform_, MakePeeringHooks()),
         server_(runtime_.io, MakeServerContext()),
         signals_(runtime_.io, SIGTERM, SIGINT) {}
@@ -74,9 +72,9 @@
 
  private:
   http::ServerContext MakeServerContext();
+  TableFollowerHooks MakeTableHooks();
   PeeringHooks MakePeeringHooks();
   std::optional<http::PageAnswer> FindPage(std::string_view path);
-  asio::awaitable<void> FollowTable();
   asio::awaitable<void> FollowTargets();
   asio::awaitable<void> StopOnSignal();
   void PutInForce(const table::Table& table);
@@ -85,13 +83,14 @@
 
   Runtime runtime_;
   platform::Client platform_;
-  table::VersionLog versions_;
   dispatch::Dispatcher dispatcher_;
   http::DispatchDriver driver_;
+  TableFollower table_follower_;
   Peering peering_;
   std::map<TargetId, std::string> addresses_;
   http::Server server_;
   asio::signal_set signals_;
+  bool stopping_ = false;
 };
 
 http::ServerContext Daemon::MakeServerContext() {
@@ -108,19 +107,29 @@
           [this](std::string_view path) { return FindPage(path); }};
 }
 
+TableFollowerHooks Daemon::MakeTableHooks() {
+  TableFollowerHooks hooks;
+  hooks.in_force = [this](const table::Table& table) { PutInForce(table); };
+  hooks.caught_up = [this] { runtime_.ready = !stopping_; };
+  return hooks;
+}
+
 PeeringHooks Daemon::MakePeeringHooks() {
   PeeringHooks hooks;
   hooks.set_leaving = [this](TargetId target, bool leaving) {
     dispatcher_.SetLeaving(target, leaving, std::chrono::steady_clock::now());
   };
   hooks.newest_table = [this]() -> std::optional<AcceptedTable> {
-    if (versions_.in_force().version == TableVersion{}) {
+    auto newest = table_follower_.Newest();
+    if (!newest) {
       return std::nullopt;
     }
-    return AcceptedTable{versions_.in_force().version, versions_.csv(),
-                         versions_.next()};
+    return AcceptedTable{newest->version, std::move(newest->csv),
+                         newest->through};
+  };
+  hooks.adopt_table = [this](const AcceptedTable& table) {
+    table_follower_.Adopt(table.version, table.csv, table.next);
   };
-  hooks.adopt_table = [](const AcceptedTable&) {};
   return hooks;
 }
 
@@ -132,6 +141,10 @@
     return runtime_.ready ? http::PageAnswer{200, "text/plain", "ready\n"}
                           : http::PageAnswer{503, "text/plain", "not ready\n"};
   }
+  if (path == "/table") {
+    return http::PageAnswer{200, "application/json",
+                            table_follower_.RenderPage()};
+  }
   if (path == "/peers") {
     return http::PageAnswer{200, "application/json", peering_.RenderPage()};
   }
@@ -158,23 +171,6 @@
   runtime_.Record(std::move(event));
 }
 
-asio::awaitable<void> Daemon::FollowTable() {
-  for (;;) {
-    const auto read = co_await platform_.Read(std::string(kTableStream),
-                                              versions_.next(), kReadWait);
-    if (read.status != platform::Status::kDone) {
-      co_await Sleep(runtime_.io, kRetryDelay);
-      continue;
-    }
-    for (const LogRecord& record : read.page.records) {
-      if (versions_.Apply(record) == table::Verdict::kAccepted) {
-        PutInForce(versions_.in_force());
-      }
-    }
-    runtime_.ready = versions_.in_force().version != TableVersion{};
-  }
-}
-
 void Daemon::NoteLeaving(const std::vector<platform::TargetEntry>& entries,
                          timeline::HybridTime read) {
   std::vector<membership::ListedTarget> listed;
@@ -216,6 +212,7 @@
 asio::awaitable<void> Daemon::StopOnSignal() {
   co_await signals_.async_wait(asio::use_awaitable);
   log::Write(log::Severity::kInfo, "daemon", "Stopping.");
+  stopping_ = true;
   runtime_.ready = false;
   server_.BeginStop();
   peering_.BeginStop();
@@ -241,7 +238,7 @@
                    " could not be bound.");
     return 1;
   }
-  asio::co_spawn(runtime_.io, FollowTable(), asio::detached);
+  table_follower_.Start();
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
   asio::co_spawn(runtime_.io, StopOnSignal(), asio::detached);
   log::Write(log::Severity::kInfo, "daemon",
--- a/src/kingcupshed/platform/client.cc
+++ b/src/kingcupshed/platform/client.cc
@@ -5,9 +5,13 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/result.hpp>
 
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/http/fetch.h"
+#include "kingcupshed/platform/error.h"
 
 namespace kingcupshed::platform {
 
@@ -15,6 +19,7 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
+namespace leaf = boost::leaf;
 
 constexpr unsigned kOk = 200;
 constexpr Duration kAnswerTimeout = std::chrono::seconds(2);
@@ -37,18 +42,29 @@
   return static_cast<std::uint64_t>(value->get_int64());
 }
 
-std::optional<json::value> ParseBody(const http::FetchResult& answer) {
-  if (answer.status != http::FetchStatus::kAnswered || answer.code != kOk) {
-    return std::nullopt;
+leaf::result<json::value> ParseBody(const http::FetchResult& answer) {
+  if (answer.status != http::FetchStatus::kAnswered) {
+    return leaf::new_error(Error::kNotAnswered);
+  }
+  if (answer.code != kOk) {
+    return leaf::new_error(Error::kRefused);
   }
   boost::system::error_code error;
   json::value value = json::parse(answer.body, error);
   if (error) {
-    return std::nullopt;
+    return leaf::new_error(Error::kNotJson);
   }
   return value;
 }
 
+leaf::result<json::object> ParseObject(const http::FetchResult& answer) {
+  BOOST_LEAF_AUTO(body, ParseBody(answer));
+  if (!body.is_object()) {
+    return leaf::new_error(Error::kBadMember);
+  }
+  return std::move(body.get_object());
+}
+
 TargetEntry ReadTarget(const json::object& object) {
   TargetEntry entry;
   entry.name = TextOf(object, "name");
@@ -73,40 +89,92 @@
 }
 
 template <typename Entry>
-std::optional<std::vector<Entry>> ReadList(
+leaf::result<std::vector<Entry>> ReadList(
     const http::FetchResult& answer,
     Entry (*read_entry)(const json::object&)) {
-  const auto body = ParseBody(answer);
-  if (!body || !body->is_array()) {
-    return std::nullopt;
+  BOOST_LEAF_AUTO(body, ParseBody(answer));
+  if (!body.is_array()) {
+    return leaf::new_error(Error::kBadMember);
   }
   std::vector<Entry> entries;
-  for (const json::value& value : body->get_array()) {
-    if (value.is_object()) {
-      entries.push_back(read_entry(value.get_object()));
+  for (const json::value& value : body.get_array()) {
+    if (!value.is_object()) {
+      return leaf::new_error(Error::kBadMember);
     }
+    entries.push_back(read_entry(value.get_object()));
   }
   return entries;
 }
 
-LogPage ReadPage(const json::object& object) {
+/// Returns a list, or nothing when the answer can't be used.
+template <typename Entry>
+std::optional<std::vector<Entry>> ListOrNothing(
+    const http::FetchResult& answer,
+    Entry (*read_entry)(const json::object&)) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<std::vector<Entry>>> {
+        BOOST_LEAF_AUTO(entries, ReadList(answer, read_entry));
+        return std::optional(std::move(entries));
+      },
+      [] { return std::optional<std::vector<Entry>>(); });
+}
+
+/// Returns a required offset.
+leaf::result<LogOffset> OffsetOf(const json::object& object,
+                                 json::string_view key) {
+  const json::value* value = object.if_contains(key);
+  if (value == nullptr || !value->is_int64() || value->get_int64() < 0) {
+    return leaf::new_error(Error::kBadMember);
+  }
+  return LogOffset{static_cast<std::uint64_t>(value->get_int64())};
+}
+
+leaf::result<LogRecord> ReadRecord(const json::value& value) {
+  if (!value.is_object()) {
+    return leaf::new_error(Error::kBadMember);
+  }
+  const json::object& object = value.get_object();
+  BOOST_LEAF_AUTO(offset, OffsetOf(object, "offset"));
+  return LogRecord{offset, TextOf(object, "id"), TextOf(object, "payload")};
+}
+
+leaf::result<LogPage> ReadPage(const http::FetchResult& answer) {
+  BOOST_LEAF_AUTO(object, ParseObject(answer));
   LogPage page;
-  page.first = LogOffset{NumberOf(object, "first")};
-  page.end = LogOffset{NumberOf(object, "end")};
+  BOOST_LEAF_ASSIGN(page.first, OffsetOf(object, "first"));
+  BOOST_LEAF_ASSIGN(page.end, OffsetOf(object, "end"));
   const json::value* records = object.if_contains("records");
   if (records == nullptr || !records->is_array()) {
-    return page;
+    return leaf::new_error(Error::kBadMember);
   }
   for (const json::value& value : records->get_array()) {
-    if (value.is_object()) {
-      const json::object& record = value.get_object();
-      page.records.push_back({LogOffset{NumberOf(record, "offset")},
-                              TextOf(record, "id"), TextOf(record, "payload")});
-    }
+    BOOST_LEAF_AUTO(record, ReadRecord(value));
+    page.records.push_back(std::move(record));
   }
   return page;
 }
 
+leaf::result<LogOffset> ReadFirst(const http::FetchResult& answer) {
+  BOOST_LEAF_AUTO(object, ParseObject(answer));
+  return OffsetOf(object, "first");
+}
+
+/// Tells what a failed append may have done. A clear refusal did nothing; any
+/// other answer, or none after the request was sent, leaves it open.
+Status StatusOfFailedAppend(const http::FetchResult& answer) {
+  constexpr unsigned kFirstClientError = 400;
+  constexpr unsigned kFirstServerError = 500;
+  constexpr unsigned kUnavailable = 503;
+  if (answer.status == http::FetchStatus::kNotSent) {
+    return Status::kNotDone;
+  }
+  const bool refused =
+      answer.status == http::FetchStatus::kAnswered &&
+      ((answer.code >= kFirstClientError && answer.code < kFirstServerError) ||
+       answer.code == kUnavailable);
+  return refused ? Status::kNotDone : Status::kUnknown;
+}
+
 }  // namespace
 
 Client::Client(std::string address, std::string source)
@@ -128,21 +196,20 @@
   request.body = json::serialize(json::object{{"records", std::move(list)}});
   request.timeout = kAnswerTimeout;
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  AppendResult result;
-  if (answer.status == http::FetchStatus::kLost) {
-    result.status = Status::kUnknown;
-  }
-  const auto body = ParseBody(answer);
-  if (body && body->is_object()) {
-    result.status = Status::kDone;
-    result.first = LogOffset{NumberOf(body->get_object(), "first")};
-  }
-  co_return result;
+  co_return leaf::try_handle_all(
+      [&]() -> leaf::result<AppendResult> {
+        BOOST_LEAF_AUTO(first, ReadFirst(answer));
+        return AppendResult{Status::kDone, first};
+      },
+      [&] {
+        return AppendResult{StatusOfFailedAppend(answer), {}};
+      });
 }
 
 asio::awaitable<ReadResult> Client::Read(std::string stream,
                                          LogOffset from,
-                                         Duration wait) const {
+                                         Duration wait,
+                                         Duration patience) const {
   const auto wait_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   http::FetchRequest request;
@@ -150,15 +217,14 @@
   request.source = source_;
   request.path = "/log/" + stream + "?from=" + std::to_string(ToIndex(from)) +
                  "&wait_ms=" + std::to_string(wait_ms);
-  request.timeout = kAnswerTimeout + wait;
+  request.timeout = wait + patience;
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  ReadResult result;
-  const auto body = ParseBody(answer);
-  if (body && body->is_object()) {
-    result.status = Status::kDone;
-    result.page = ReadPage(body->get_object());
-  }
-  co_return result;
+  co_return leaf::try_handle_all(
+      [&]() -> leaf::result<ReadResult> {
+        BOOST_LEAF_AUTO(page, ReadPage(answer));
+        return ReadResult{Status::kDone, std::move(page)};
+      },
+      [] { return ReadResult{}; });
 }
 
 asio::awaitable<std::optional<std::vector<TargetEntry>>> Client::ListTargets()
@@ -168,7 +234,7 @@
   request.source = source_;
   request.path = "/targets";
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  co_return ReadList<TargetEntry>(answer, &ReadTarget);
+  co_return ListOrNothing<TargetEntry>(answer, &ReadTarget);
 }
 
 asio::awaitable<std::optional<std::vector<VmEntry>>> Client::ListVms() const {
@@ -177,7 +243,7 @@
   request.source = source_;
   request.path = "/vms";
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  co_return ReadList<VmEntry>(answer, &ReadVm);
+  co_return ListOrNothing<VmEntry>(answer, &ReadVm);
 }
 
 }  // namespace kingcupshed::platform
--- a/src/kingcupshed/platform/client.h
+++ b/src/kingcupshed/platform/client.h
@@ -74,9 +74,12 @@
       std::vector<NewRecord> records) const;
 
   /// Reads a stream, waiting up to `wait` for a record at `from`.
-  [[nodiscard]] boost::asio::awaitable<ReadResult> Read(std::string stream,
-                                                        LogOffset from,
-                                                        Duration wait) const;
+  /// @param patience Time beyond `wait` after which the read is given up.
+  [[nodiscard]] boost::asio::awaitable<ReadResult> Read(
+      std::string stream,
+      LogOffset from,
+      Duration wait,
+      Duration patience = std::chrono::seconds(2)) const;
 
   /// Fetches the list of targets, or nothing in an outage.
   [[nodiscard]] boost::asio::awaitable<std::optional<std::vector<TargetEntry>>>
--- a/src/kingcupshed/platform/fwd.h
+++ b/src/kingcupshed/platform/fwd.h
@@ -2,6 +2,7 @@
 
 namespace kingcupshed::platform {
 
+enum class Error : unsigned char;
 struct TargetEntry;
 struct VmEntry;
 class Client;
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -36,6 +36,9 @@
   std::uint32_t event_capacity = 4096;
   /// Time that a stopping VM goes on accepting for the platform's balancer.
   Duration stop_grace = std::chrono::seconds(2);
+  /// Age at which the table's checkpoint on the log is renewed; a quarter of
+  /// the log's retention at most.
+  Duration checkpoint_interval = std::chrono::minutes(5);
 };
 
 /// A fault in a settings file.
--- a/test/kingcupshed/settings/settings.cc
+++ b/test/kingcupshed/settings/settings.cc
@@ -1,9 +1,23 @@
 #include "kingcupshed/settings/settings.h"
 
+#include <string>
+#include <string_view>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace kingcupshed::settings {
 
+namespace {
+
+constexpr std::string_view kGood = R"({
+    "vm": "norr-a-1", "zone": "norr-a", "zones": {"norr-a": "norr"},
+    "listen": "127.0.1.1:8080", "peer_listen": "127.0.1.1:8081",
+    "platform": "127.0.0.1:7000", "stop_grace_ms": 500})";
+
+}  // namespace
+
 BOOST_AUTO_TEST_SUITE(ParseSettingsTest)
 
 BOOST_AUTO_TEST_CASE(UnknownAndMissingKeysAreFaults) {
@@ -13,14 +27,69 @@
 }
 
 BOOST_AUTO_TEST_CASE(CompleteSettingsAreAccepted) {
-  const ParsedSettings parsed = ParseSettings(R"({
-    "vm": "norr-a-1", "zone": "norr-a", "zones": {"norr-a": "norr"},
-    "listen": "127.0.1.1:8080", "peer_listen": "127.0.1.1:8081",
-    "platform": "127.0.0.1:7000", "stop_grace_ms": 500})");
+  const ParsedSettings parsed = ParseSettings(kGood);
   BOOST_TEST(parsed.faults.empty());
   BOOST_TEST((parsed.settings.stop_grace == std::chrono::milliseconds(500)));
 }
 
+BOOST_AUTO_TEST_CASE(UnknownKeyNamesTheNearestKnownOne) {
+  const ParsedSettings parsed = ParseSettings(R"({"zoen": "norr-a"})");
+  BOOST_REQUIRE(!parsed.faults.empty());
+  BOOST_TEST(parsed.faults[0].cause.find("'zone'") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(EachBadValueIsAFaultOfItsPath) {
+  struct Case {
+    const char* key;
+    const char* value;
+  };
+  for (const Case& bad : {Case{"vm", "3"},
+                          Case{"vm", "\"\""},
+                          Case{"zone", "\"elsewhere\""},
+                          Case{"zones", "{}"},
+                          Case{"zones", R"({"norr-a": 1})"},
+                          Case{"listen", "\"8080\""},
+                          Case{"listen", "\"127.0.0.1:0\""},
+                          Case{"listen", "\"127.0.0.1:65536\""},
+                          Case{"listen", "\"host:80\""},
+                          Case{"peer_listen", "\"127.0.1.1:8080\""},
+                          Case{"platform", "true"},
+                          Case{"policy", "\"best\""},
+                          Case{"max_vms", "0"},
+                          Case{"max_vms", "4097"},
+                          Case{"max_vms", "1.5"},
+                          Case{"log_level", "\"loud\""},
+                          Case{"event_capacity", "0"},
+                          Case{"stop_grace_ms", "-1"},
+                          Case{"stop_grace_ms", "600001"},
+                          Case{"checkpoint_interval_ms", "999"}}) {
+    boost::json::object object = boost::json::parse(kGood).as_object();
+    object[bad.key] = boost::json::parse(bad.value);
+    const ParsedSettings parsed = ParseSettings(boost::json::serialize(object));
+    BOOST_TEST_CONTEXT(bad.key << " " << bad.value) {
+      BOOST_REQUIRE(parsed.faults.size() == 1U);
+      const std::string& path = parsed.faults[0].path;
+      BOOST_TEST(path.rfind(std::string("$.") + bad.key, 0) == 0U);
+      BOOST_TEST(!parsed.faults[0].accepted.empty());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DuplicateKeyIsAFault) {
+  std::string text(kGood);
+  text.insert(1, R"("zones": {"x": "y", "x": "z"}, )");
+  const ParsedSettings parsed = ParseSettings(text);
+  BOOST_REQUIRE(parsed.faults.size() == 2U);
+  BOOST_TEST(parsed.faults[0].path == "$.zones.x");
+  BOOST_TEST(parsed.faults[1].path == "$.zones");
+}
+
+BOOST_AUTO_TEST_CASE(SyntaxErrorNamesItsLine) {
+  const ParsedSettings parsed = ParseSettings("{\n\"vm\": \"a\",\n}");
+  BOOST_REQUIRE(parsed.faults.size() == 1U);
+  BOOST_TEST(parsed.faults[0].path == "line 3");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::settings
