--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -1,6 +1,6 @@
 #include "kingcupshed/daemon/daemon.h"
 
-#include <csignal>
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -9,12 +9,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
+#include "kingcupshed/daemon/stop_driver.h"
 #include "kingcupshed/daemon/table_follower.h"
 #include "kingcupshed/dispatch/dispatcher.h"
 #include "kingcupshed/http/dispatch_driver.h"
@@ -29,7 +29,6 @@
 namespace asio = boost::asio;
 
 constexpr Duration kListInterval = std::chrono::seconds(1);
-constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 
 asio::awaitable<void> Sleep(asio::io_context& io, Duration duration) {
   asio::steady_timer timer(io, duration);
@@ -66,7 +65,7 @@
         table_follower_(runtime_, platform_, MakeTableHooks()),
         peering_(runtime_, platform_, MakePeeringHooks()),
         server_(runtime_.io, MakeServerContext()),
-        signals_(runtime_.io, SIGTERM, SIGINT) {}
+        stop_driver_(runtime_.io, server_, runtime_.settings.stop_grace) {}
 
   int Run();
 
@@ -76,7 +75,7 @@
   PeeringHooks MakePeeringHooks();
   std::optional<http::PageAnswer> FindPage(std::string_view path);
   asio::awaitable<void> FollowTargets();
-  asio::awaitable<void> StopOnSignal();
+  asio::awaitable<void> StopGracefully();
   void PutInForce(const table::Table& table);
   void NoteLeaving(const std::vector<platform::TargetEntry>& entries,
                    timeline::HybridTime read);
@@ -88,9 +87,10 @@
   TableFollower table_follower_;
   Peering peering_;
   std::map<TargetId, std::string> addresses_;
+  /// Connections that this VM may hold to each target.
+  std::map<TargetId, std::size_t> connection_limits_;
   http::Server server_;
-  asio::signal_set signals_;
-  bool stopping_ = false;
+  StopDriver stop_driver_;
 };
 
 http::ServerContext Daemon::MakeServerContext() {
@@ -104,13 +104,17 @@
           [this](TargetId target) { return addresses_[target]; },
           [this](TargetId target) { return runtime_.targets.NameOf(target); },
           [this](TargetId target) { peering_.SeeDrainMark(target); },
-          [this](std::string_view path) { return FindPage(path); }};
+          [this](std::string_view path) { return FindPage(path); },
+          nullptr,
+          runtime_.settings.vm,
+          HostOf(runtime_.settings.listen),
+          [this](TargetId target) { return connection_limits_[target]; }};
 }
 
 TableFollowerHooks Daemon::MakeTableHooks() {
   TableFollowerHooks hooks;
   hooks.in_force = [this](const table::Table& table) { PutInForce(table); };
-  hooks.caught_up = [this] { runtime_.ready = !stopping_; };
+  hooks.caught_up = [this] { runtime_.ready = true; };
   return hooks;
 }
 
@@ -138,8 +142,9 @@
     return http::PageAnswer{200, "text/plain", "ok\n"};
   }
   if (path == "/readyz") {
-    return runtime_.ready ? http::PageAnswer{200, "text/plain", "ready\n"}
-                          : http::PageAnswer{503, "text/plain", "not ready\n"};
+    return stop_driver_.Ready(runtime_.ready)
+               ? http::PageAnswer{200, "text/plain", "ready\n"}
+               : http::PageAnswer{503, "text/plain", "not ready\n"};
   }
   if (path == "/table") {
     return http::PageAnswer{200, "application/json",
@@ -201,6 +206,8 @@
         info.connections = entry.connections;
         info.leaving = peering_.IsLeaving(info.id);
         addresses_[info.id] = info.address;
+        connection_limits_[info.id] = std::max<std::size_t>(
+            1, info.connections / runtime_.settings.max_vms);
         targets.push_back(std::move(info));
       }
       dispatcher_.SetTargets(std::move(targets));
@@ -209,18 +216,11 @@
   }
 }
 
-asio::awaitable<void> Daemon::StopOnSignal() {
-  co_await signals_.async_wait(asio::use_awaitable);
-  log::Write(log::Severity::kInfo, "daemon", "Stopping.");
-  stopping_ = true;
-  runtime_.ready = false;
-  server_.BeginStop();
-  peering_.BeginStop();
-  co_await Sleep(runtime_.io, runtime_.settings.stop_grace);
-  server_.StopAccepting();
-  while (driver_.open_calls() > 0) {
-    co_await Sleep(runtime_.io, kStopPoll);
-  }
+asio::awaitable<void> Daemon::StopGracefully() {
+  co_await stop_driver_.Run([this] {
+    runtime_.ready = false;
+    peering_.BeginStop();
+  });
   peering_.Stop();
   runtime_.io.stop();
 }
@@ -240,7 +240,7 @@
   }
   table_follower_.Start();
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
-  asio::co_spawn(runtime_.io, StopOnSignal(), asio::detached);
+  asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
   log::Write(log::Severity::kInfo, "daemon",
              "VM " + runtime_.settings.vm + " serves callers at " +
                  runtime_.settings.listen + ".");
