--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/daemon/key_gate.h"
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
 #include "kingcupshed/daemon/stop_driver.h"
@@ -64,6 +65,7 @@
         driver_(runtime_.io, dispatcher_),
         table_follower_(runtime_, platform_, MakeTableHooks()),
         peering_(runtime_, platform_, MakePeeringHooks()),
+        key_gate_(runtime_, platform_, peering_),
         server_(runtime_.io, MakeServerContext()),
         stop_driver_(runtime_.io, server_, runtime_.settings.stop_grace) {}
 
@@ -86,6 +88,7 @@
   http::DispatchDriver driver_;
   TableFollower table_follower_;
   Peering peering_;
+  KeyGate key_gate_;
   std::map<TargetId, std::string> addresses_;
   /// Connections that this VM may hold to each target.
   std::map<TargetId, std::size_t> connection_limits_;
@@ -105,7 +108,7 @@
           [this](TargetId target) { return runtime_.targets.NameOf(target); },
           [this](TargetId target) { peering_.SeeDrainMark(target); },
           [this](std::string_view path) { return FindPage(path); },
-          nullptr,
+          &key_gate_,
           runtime_.settings.vm,
           HostOf(runtime_.settings.listen),
           [this](TargetId target) { return connection_limits_[target]; }};
@@ -134,6 +137,10 @@
   hooks.adopt_table = [this](const AcceptedTable& table) {
     table_follower_.Adopt(table.version, table.csv, table.next);
   };
+  hooks.find_kept_answer = [this](const peer::wire::KeptAnswerRequest& request,
+                                  peer::wire::KeptAnswer& answer) {
+    key_gate_.FindKeptAnswer(request, answer);
+  };
   return hooks;
 }
 
@@ -221,6 +228,7 @@
     runtime_.ready = false;
     peering_.BeginStop();
   });
+  co_await key_gate_.Drain();
   peering_.Stop();
   runtime_.io.stop();
 }
@@ -239,6 +247,7 @@
     return 1;
   }
   table_follower_.Start();
+  key_gate_.Start();
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
   asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
   log::Write(log::Severity::kInfo, "daemon",
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -159,8 +159,10 @@
 constexpr int kMaxGraceMs = 600'000;
 constexpr int kMinCheckpointIntervalMs = 1000;
 constexpr int kMaxCheckpointIntervalMs = 86'400'000;
+constexpr std::uint32_t kMaxClaimStreams = 64;
+constexpr int kMaxKeyLifetimeMs = 7 * 24 * 3'600'000;
 
-constexpr std::array<Key, 13> kKeys{{
+constexpr std::array<Key, 15> kKeys{{
     {"vm", &ReadText<&Settings::vm>, true},
     {"zone", &ReadText<&Settings::zone>, true},
     {"zones", &ReadZones, true},
@@ -180,6 +182,10 @@
                        kMinCheckpointIntervalMs,
                        kMaxCheckpointIntervalMs>,
      false},
+    {"claim_streams", &ReadCount<&Settings::claim_streams, kMaxClaimStreams>,
+     false},
+    {"key_lifetime_ms",
+     &ReadMilliseconds<&Settings::key_lifetime, 0, kMaxKeyLifetimeMs>, false},
 }};
 
 const Key* FindKey(std::string_view name) noexcept {
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -39,6 +39,12 @@
   /// Age at which the table's checkpoint on the log is renewed; a quarter of
   /// the log's retention at most.
   Duration checkpoint_interval = std::chrono::minutes(5);
+  /// Streams of the log that callers' keys are spread over; the same on every
+  /// VM.
+  std::uint32_t claim_streams = 1;
+  /// Time for which a caller's key is protected; shorter than the time that
+  /// the log keeps records.
+  Duration key_lifetime = std::chrono::hours(1);
 };
 
 /// A fault in a settings file.
