--- a/src/kingcupshed/cli/commands.h
+++ b/src/kingcupshed/cli/commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 
 #include "kingcupshed/cli/exit_status.h"
@@ -24,9 +25,23 @@
   long long base = -1;
   /// Waits until each VM has the version in force, and prints them.
   bool wait = false;
+  /// Time after which publishing, and then waiting, is given up.
+  std::chrono::milliseconds timeout{10'000};
 };
 
 /// Publishes a table and prints the verdict.
 [[nodiscard]] ExitStatus PublishTable(const PublishOptions& options);
 
+/// Options of `table show` and `table status`.
+struct StatusOptions {
+  std::string platform;
+  bool json = false;
+};
+
+/// Prints the table in force as the log has it.
+[[nodiscard]] ExitStatus ShowTable(const StatusOptions& options);
+
+/// Prints the version in force on each VM.
+[[nodiscard]] ExitStatus ShowTableStatus(const StatusOptions& options);
+
 }  // namespace kingcupshed::cli
--- a/src/kingcupshed/cli/main.cc
+++ b/src/kingcupshed/cli/main.cc
@@ -1,3 +1,5 @@
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -10,6 +12,8 @@
 using kingcupshed::cli::ExitStatus;
 
 constexpr const char* kVersion = "kingcupshed 0.1.0";
+constexpr std::int64_t kMinTimeoutMs = 100;
+constexpr std::int64_t kMaxTimeoutMs = 600'000;
 
 }  // namespace
 
@@ -23,6 +27,7 @@
   std::string settings_file;
   CLI::App* run = app.add_subcommand("run", "Run one balancing VM.");
   run->add_option("--settings", settings_file, "JSON settings")->required();
+  run->footer("Example:\n  kingcupshed run --settings vm.json");
   run->callback([&] {
     command = [&] { return kingcupshed::cli::RunDaemon(settings_file); };
   });
@@ -30,7 +35,9 @@
   CLI::App* settings = app.add_subcommand("settings", "Work on settings.");
   settings->require_subcommand(1);
   CLI::App* settings_check = settings->add_subcommand("check", "Check a file.");
-  settings_check->add_option("file", settings_file)->required();
+  settings_check->add_option("file", settings_file, "JSON settings")
+      ->required();
+  settings_check->footer("Example:\n  kingcupshed settings check vm.json");
   settings_check->callback([&] {
     command = [&] { return kingcupshed::cli::CheckSettings(settings_file); };
   });
@@ -39,27 +46,67 @@
   table->require_subcommand(1);
   std::string table_file;
   CLI::App* table_check = table->add_subcommand("check", "Check a file.");
-  table_check->add_option("file", table_file)->required();
+  table_check->add_option("file", table_file, "Table as CSV")->required();
+  table_check->footer("Example:\n  kingcupshed table check table.csv");
   table_check->callback([&] {
     command = [&] { return kingcupshed::cli::CheckTable(table_file); };
   });
 
   kingcupshed::cli::PublishOptions publish_options;
   CLI::App* publish = table->add_subcommand("publish", "Publish a table.");
-  publish->add_option("file", publish_options.file)->required();
-  publish->add_option("--platform", publish_options.platform)->required();
-  publish->add_option("--author", publish_options.author);
-  publish->add_option("--base", publish_options.base);
-  publish->add_flag("--wait", publish_options.wait);
+  publish->add_option("file", publish_options.file, "Table as CSV")->required();
+  publish
+      ->add_option("--platform", publish_options.platform,
+                   "Address of the platform")
+      ->required();
+  publish->add_option("--author", publish_options.author,
+                      "Name that others see");
+  publish->add_option("--base", publish_options.base,
+                      "Version that the table was edited from; without it the "
+                      "one in force");
+  publish->add_flag("--wait", publish_options.wait,
+                    "Wait until each VM has the version in force");
+  std::int64_t timeout_ms = publish_options.timeout.count();
+  publish
+      ->add_option("--timeout-ms", timeout_ms,
+                   "Time to publish, and again to wait")
+      ->check(CLI::Range(kMinTimeoutMs, kMaxTimeoutMs));
+  publish->footer(
+      "Example:\n  kingcupshed table publish table.csv --base 3 --author anna"
+      " --platform 10.0.0.1:7000 --wait");
   publish->callback([&] {
+    publish_options.timeout = std::chrono::milliseconds(timeout_ms);
     command = [&] { return kingcupshed::cli::PublishTable(publish_options); };
   });
 
+  kingcupshed::cli::StatusOptions status_options;
+  const auto add_status_options = [&](CLI::App* status) {
+    status
+        ->add_option("--platform", status_options.platform,
+                     "Address of the platform")
+        ->required();
+    status->add_flag("--json", status_options.json, "Print JSON");
+  };
+  CLI::App* show = table->add_subcommand("show", "Print the table in force.");
+  add_status_options(show);
+  show->footer("Example:\n  kingcupshed table show --platform 10.0.0.1:7000");
+  show->callback([&] {
+    command = [&] { return kingcupshed::cli::ShowTable(status_options); };
+  });
+  CLI::App* status =
+      table->add_subcommand("status", "Print the version in force per VM.");
+  add_status_options(status);
+  status->footer(
+      "Example:\n  kingcupshed table status --platform 10.0.0.1:7000 --json");
+  status->callback([&] {
+    command = [&] { return kingcupshed::cli::ShowTableStatus(status_options); };
+  });
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
-    const int status = app.exit(error);
-    return status == 0 ? 0 : static_cast<int>(ExitStatus::kBadInput);
+    const int code = app.exit(error);
+    return code == 0 ? 0 : static_cast<int>(ExitStatus::kBadInput);
   }
   return static_cast<int>(command());
 }
--- a/src/kingcupshed/table/table.cc
+++ b/src/kingcupshed/table/table.cc
@@ -52,13 +52,18 @@
   }
 };
 
-std::string Range(double lowest, double highest) {
+std::string NumberText(double value) {
+  constexpr int kDigits = 15;
   std::ostringstream text;
-  text.precision(15);
-  text << lowest << " to " << highest;
+  text.precision(kDigits);
+  text << value;
   return text.str();
 }
 
+std::string Range(double lowest, double highest) {
+  return NumberText(lowest) + " to " + NumberText(highest);
+}
+
 double ReadNumber(const Cell& cell, double lowest, double highest) {
   double value = 0.0;
   const char* end = cell.text.data() + cell.text.size();
@@ -274,6 +279,30 @@
   return parsed;
 }
 
+std::vector<std::string> ColumnNames() {
+  std::vector<std::string> names;
+  for (const Column& column : kColumns) {
+    names.emplace_back(column.name);
+  }
+  return names;
+}
+
+std::vector<std::string> ToCells(const Row& row) {
+  return {
+      row.service,
+      std::to_string(static_cast<int>(row.rank)),
+      NumberText(row.weight),
+      std::to_string(row.concurrency_limit),
+      std::to_string(row.queue_limit),
+      NumberText(row.rate_limit),
+      NumberText(ToMilliseconds(row.deadline)),
+      NumberText(row.retry_share),
+      NumberText(row.hedge_share),
+      row.semantics == Semantics::kIdempotent ? "idempotent" : "at-most-once",
+      NumberText(ToMilliseconds(row.measure_budget)),
+      std::to_string(row.cross_region_bytes)};
+}
+
 const Row* FindRow(const Table& table,
                    std::string_view service,
                    Rank rank) noexcept {
--- a/src/kingcupshed/table/table.h
+++ b/src/kingcupshed/table/table.h
@@ -67,6 +67,12 @@
 /// @return The table, and every fault found.
 [[nodiscard]] ParsedTable ParseTable(std::string_view csv);
 
+/// Returns the names of the table's columns.
+[[nodiscard]] std::vector<std::string> ColumnNames();
+
+/// Renders a row as the cells of its line.
+[[nodiscard]] std::vector<std::string> ToCells(const Row& row);
+
 /// Returns the row of a service and rank, or null.
 [[nodiscard]] const Row* FindRow(const Table& table,
                                  std::string_view service,
