Accept new keys again within two seconds of an outage

Found by a run with four VMs: a second after the log's outage had ended every new key was still refused as log-unreachable, as the reader's next answer came only after its wait of 10 s. Reads now wait 2 s, and none after a failure.

--- a/src/kingcupshed/daemon/key_gate.cc
+++ b/src/kingcupshed/daemon/key_gate.cc
@@ -26,7 +26,9 @@
 using once::RunState;
 using peer::wire::KeptAnswer;
 
-constexpr Duration kReadWait = std::chrono::seconds(10);
+/// A read that returns shows that the log serves, so this bounds how long new
+/// keys are refused after an outage.
+constexpr Duration kReadWait = std::chrono::seconds(2);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kTimerInterval = std::chrono::milliseconds(10);
 constexpr Duration kRunPoll = std::chrono::milliseconds(50);
@@ -209,10 +211,14 @@
 }
 
 asio::awaitable<void> KeyGate::Follow(Partition& partition) {
+  Duration wait = kReadWait;
   for (;;) {
     const auto read = co_await platform_.Read(
-        partition.stream, partition.claims.next(), kReadWait);
-    if (read.status == platform::Status::kDone) {
+        partition.stream, partition.claims.next(), wait);
+    const bool done = read.status == platform::Status::kDone;
+    // After a failure the next answer is wanted at once.
+    wait = done ? kReadWait : Duration::zero();
+    if (done) {
       partition.claims.OnRead(read.page, SteadyNow());
       Pump(partition);
     } else {
