--- a/src/kingcupshed/http/call_machine.cc
+++ b/src/kingcupshed/http/call_machine.cc
@@ -43,6 +43,7 @@
   struct Closed : msm::front::state<> {};
   using initial_state = Waiting;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name.
   struct transition_table
       : mpl::vector<Row<Waiting, AnswerCame, Answering, RememberWinner, none>,
                     Row<Waiting, GivenUp, Closed, none, none>> {};
--- a/src/kingcupshed/http/internal/race.cc
+++ b/src/kingcupshed/http/internal/race.cc
@@ -32,8 +32,8 @@
   Push(CallerLeft{});
 }
 
-void Race::Push(RaceEvent event) {
-  events_.push_back(std::move(event));
+void Race::Push(const RaceEvent& event) {
+  events_.push_back(event);
   wake_.cancel();
 }
 
@@ -43,7 +43,7 @@
     boost::system::error_code error;
     co_await wake_.async_wait(asio::redirect_error(asio::use_awaitable, error));
   }
-  RaceEvent event = std::move(events_.front());
+  RaceEvent event = events_.front();
   events_.pop_front();
   co_return event;
 }
@@ -182,7 +182,7 @@
 /// Ends the attempts that the dispatcher asked for after the call was over.
 void Race::RejectStarts() {
   while (!events_.empty()) {
-    const RaceEvent event = std::move(events_.front());
+    const RaceEvent event = events_.front();
     events_.pop_front();
     const auto* action = std::get_if<dispatch::Action>(&event);
     const auto* start = action == nullptr
--- a/src/kingcupshed/http/internal/race.h
+++ b/src/kingcupshed/http/internal/race.h
@@ -75,7 +75,7 @@
                                  CallerLeft>;
 
   asio::awaitable<RaceEvent> Next();
-  void Push(RaceEvent event);
+  void Push(const RaceEvent& event);
   void Start(const dispatch::StartAttempt& start);
   void HandleAction(const dispatch::Action& action);
   void HandleOver(const AttemptOver& over);
--- a/src/kingcupshed/lifecycle/lifecycle.cc
+++ b/src/kingcupshed/lifecycle/lifecycle.cc
@@ -51,6 +51,7 @@
   struct Stopped : msm::front::state<> {};
   using initial_state = Starting;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): the library's name.
   struct transition_table
       : mpl::vector<
             Row<Starting, BecameServable, Ready, none, none>,
--- /dev/null
+++ b/test/kingcupshed/http/server.cc
@@ -0,0 +1,107 @@
+#include "kingcupshed/http/server.h"
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/promise.h"
+#include "support/server_rig.h"
+
+namespace kingcupshed::http {
+
+namespace {
+
+using standin::CallOutcome;
+using standin::LoadAnswer;
+using standin::LoadCall;
+
+constexpr std::array<const char*, 7> kFaults{
+    "truncate",     "surplus",      "late",       "crossed",
+    "reset-before", "reset-during", "reset-after"};
+constexpr Duration kDeadline = std::chrono::milliseconds(25);
+constexpr Duration kLate = std::chrono::milliseconds(35);
+
+LoadCall DrawCall(std::size_t number) {
+  LoadCall call;
+  const bool order = *rc::gen::arbitrary<bool>();
+  call.method = order ? "POST" : *rc::gen::element("GET", "POST");
+  call.caller = "caller-" + std::to_string(number);
+  call.deadline = kDeadline;
+  call.timeout = std::chrono::seconds(10);
+  const std::string service = order ? "/order" : "/lookup";
+  if (call.method == "POST") {
+    call.path = service + "/case/" + std::to_string(number);
+    call.body = std::string(*rc::gen::element<std::size_t>(0, 10, 5000),
+                            static_cast<char>('a' + number % 26));
+  } else {
+    call.path =
+        service + "/file/" +
+        std::to_string(*rc::gen::element<std::size_t>(10, 60'000, 200'000) +
+                       number);
+  }
+  return call;
+}
+
+void DrawFaults(support::ServerRig& rig) {
+  for (standin::Target& target : rig.targets()) {
+    target.behaviour.late = kLate;
+    for (const char* fault : kFaults) {
+      target.behaviour.faults[fault] = *rc::gen::element(0, 0, 0, 1, 2);
+    }
+    target.behaviour.refusing = *rc::gen::inRange(0, 10) == 0;
+  }
+}
+
+/// Runs a history of calls in a few rounds and checks each answer.
+/// @param check Called with each call, its answer and the times it was run.
+template <typename Check>
+void RunHistory(Check check) {
+  support::ServerRig rig;
+  std::size_t number = 0;
+  const int rounds = *rc::gen::inRange(1, 5);
+  for (int round = 0; round < rounds; ++round) {
+    DrawFaults(rig);
+    std::vector<LoadCall> calls;
+    const int count = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < count; ++i) {
+      calls.push_back(DrawCall(number++));
+    }
+    const std::vector<LoadAnswer> answers = rig.SendAll(calls);
+    for (std::size_t at = 0; at < calls.size(); ++at) {
+      check(calls[at], answers[at], rig.Runs(calls[at].caller));
+    }
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(Promise2)
+
+BOOST_AUTO_TEST_CASE(EveryAnswerIsTheCallersOwnAndWhole) {
+  support::CheckPromise(2, "own and whole answers over sockets", [] {
+    RunHistory([](const LoadCall&, const LoadAnswer& answer, std::size_t) {
+      RC_ASSERT(answer.outcome != CallOutcome::kWrong);
+    });
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Promise3)
+
+BOOST_AUTO_TEST_CASE(WorkSaidToBeNotRunIsInNoJournal) {
+  support::CheckPromise(3, "not run over sockets", [] {
+    RunHistory(
+        [](const LoadCall& call, const LoadAnswer& answer, std::size_t runs) {
+          RC_ASSERT(answer.outcome != CallOutcome::kRefused || runs == 0);
+          RC_ASSERT(answer.outcome != CallOutcome::kAnswered || runs >= 1);
+          RC_ASSERT(call.path.rfind("/order", 0) != 0 || runs <= 1);
+        });
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kingcupshed::http
--- /dev/null
+++ b/test/support/server_rig.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "kingcupshed/dispatch/dispatcher.h"
+#include "kingcupshed/http/dispatch_driver.h"
+#include "kingcupshed/http/server.h"
+#include "kingcupshed/timeline/recorder.h"
+#include "standin/load_client.h"
+#include "standin/target.h"
+
+namespace kingcupshed::support {
+
+/// A server, its dispatcher and a few stand-in targets in one event loop.
+///
+/// The service `lookup` is idempotent, `order` at-most-once; each has all the
+/// targets of its name.
+class ServerRig {
+ public:
+  static constexpr std::size_t kTargetsPerService = 3;
+
+  explicit ServerRig(http::KeyGate* key_gate = nullptr)
+      : prefix_(NextPrefix()),
+        recorder_("vm", 16),
+        dispatcher_(MakeConfig()),
+        driver_(io_, dispatcher_) {
+    AddTargets("lookup");
+    AddTargets("order");
+    table_.version = TableVersion{1};
+    table_.rows.push_back(MakeRow("lookup", table::Semantics::kIdempotent));
+    table_.rows.push_back(MakeRow("order", table::Semantics::kAtMostOnce));
+    dispatcher_.SetTable(table_, services_);
+    dispatcher_.SetTargets(infos_);
+    http::ServerContext context{
+        driver_,
+        recorder_,
+        services_,
+        [this](ServiceId service, Rank rank) {
+          return table::FindRow(table_, services_.NameOf(service), rank);
+        },
+        [this](TargetId target) { return infos_[ToIndex(target)].address; },
+        [this](TargetId target) { return names_.NameOf(target); },
+        [](TargetId) {},
+        [](std::string_view) { return std::optional<http::PageAnswer>(); },
+        key_gate,
+        "vm"};
+    server_.emplace(io_, std::move(context));
+    address_ = prefix_ + ".1:8080";
+    if (!server_->Listen(address_)) {
+      throw std::runtime_error("the address " + address_ + " is in use");
+    }
+    client_.emplace(io_, std::vector<std::string>{address_});
+  }
+  /// Lets every coroutine that refers to the rig end.
+  ~ServerRig() {
+    client_.reset();
+    server_->StopAccepting();
+    RunUntil([this] { return server_->connections() == 0; });
+    server_.reset();
+    for (const standin::Target& target : targets_) {
+      RunUntil([&] { return target.connections.empty(); });
+    }
+  }
+  ServerRig(const ServerRig&) = delete;
+  ServerRig& operator=(const ServerRig&) = delete;
+
+  /// Sends calls side by side and waits for the end of each.
+  std::vector<standin::LoadAnswer> SendAll(
+      const std::vector<standin::LoadCall>& calls) {
+    std::vector<standin::LoadAnswer> answers(calls.size());
+    std::size_t open = calls.size();
+    for (std::size_t at = 0; at < calls.size(); ++at) {
+      boost::asio::co_spawn(
+          io_, client_->Send(calls[at]),
+          [&, at](const std::exception_ptr&, standin::LoadAnswer answer) {
+            answers[at] = std::move(answer);
+            --open;
+          });
+    }
+    RunUntil([&] { return open == 0; });
+    return answers;
+  }
+
+  /// Runs the event loop until a condition holds.
+  template <typename Condition>
+  void RunUntil(Condition condition) {
+    while (!condition()) {
+      io_.run_one();
+    }
+  }
+
+  /// Returns how often work of a caller was started.
+  [[nodiscard]] std::size_t Runs(const std::string& caller) const {
+    std::size_t runs = 0;
+    for (const standin::Target& target : targets_) {
+      runs += static_cast<std::size_t>(std::count_if(
+          target.journal.begin(), target.journal.end(),
+          [&](const auto& entry) { return entry.caller == caller; }));
+    }
+    return runs;
+  }
+
+  [[nodiscard]] std::list<standin::Target>& targets() { return targets_; }
+  [[nodiscard]] http::Server& server() { return *server_; }
+  [[nodiscard]] boost::asio::io_context& io() { return io_; }
+  [[nodiscard]] const std::string& address() const { return address_; }
+
+ private:
+  /// Each rig has addresses of its own, so that closed connections of one
+  /// can't take the port numbers of the next.
+  static std::string NextPrefix() {
+    static std::uint32_t number = 0;
+    ++number;
+    return "127." + std::to_string(1 + getpid() % 250) + "." +
+           std::to_string(1 + number % 250);
+  }
+
+  static dispatch::Config MakeConfig() {
+    dispatch::Config config;
+    config.max_vms = 1;
+    return config;
+  }
+
+  static table::Row MakeRow(std::string service, table::Semantics semantics) {
+    table::Row row;
+    row.service = std::move(service);
+    row.concurrency_limit = 100;
+    row.queue_limit = 100;
+    row.rate_limit = 100'000;
+    row.deadline = std::chrono::seconds(2);
+    row.retry_share = 1.0;
+    row.semantics = semantics;
+    row.cross_region_bytes = 1'000'000;
+    return row;
+  }
+
+  void AddTargets(const std::string& service) {
+    for (std::size_t i = 0; i < kTargetsPerService; ++i) {
+      standin::TargetSpec spec;
+      spec.name = service + "-" + std::to_string(i + 1);
+      spec.service = service;
+      spec.address = prefix_ + ".2:" + std::to_string(9000 + infos_.size());
+      spec.service_time = std::chrono::microseconds(200);
+      spec.exponential = false;
+      target::TargetInfo info;
+      info.id = names_.Intern(spec.name);
+      info.service = services_.Intern(service);
+      info.address = spec.address;
+      infos_.push_back(std::move(info));
+      standin::ServeTarget(io_, targets_.emplace_back(io_, std::move(spec)));
+    }
+  }
+
+  std::string prefix_;
+  std::string address_;
+  boost::asio::io_context io_{1};
+  std::list<standin::Target> targets_;
+  timeline::Recorder recorder_;
+  Names<ServiceId> services_;
+  Names<TargetId> names_;
+  table::Table table_;
+  std::vector<target::TargetInfo> infos_;
+  dispatch::Dispatcher dispatcher_;
+  http::DispatchDriver driver_;
+  std::optional<http::Server> server_;
+  std::optional<standin::LoadClient> client_;
+};
+
+}  // namespace kingcupshed::support
