--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -12,15 +12,16 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/daemon/key_gate.h"
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
 #include "kingcupshed/daemon/stop_driver.h"
+#include "kingcupshed/daemon/table_follower.h"
 #include "kingcupshed/dispatch/dispatcher.h"
 #include "kingcupshed/http/dispatch_driver.h"
 #include "kingcupshed/http/server.h"
 #include "kingcupshed/log/log.h"
 #include "kingcupshed/platform/client.h"
-#include "kingcupshed/table/version_log.h"
 
 namespace kingcupshed::daemon {
 
@@ -28,9 +29,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::string_view kTableStream = "table";
-constexpr Duration kReadWait = std::chrono::seconds(10);
-constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kListInterval = std::chrono::seconds(1);
 
 asio::awaitable<void> Sleep(asio::io_context& io, Duration duration) {
@@ -65,7 +63,9 @@
         platform_(settings.platform, HostOf(settings.listen)),
         dispatcher_(DispatchConfig(runtime_)),
         driver_(runtime_.io, dispatcher_),
+        table_follower_(runtime_, platform_, MakeTableHooks()),
         peering_(runtime_, platform_, MakePeeringHooks()),
+        key_gate_(runtime_, platform_, peering_),
         server_(runtime_.io, MakeServerContext()),
         stop_driver_(runtime_.io, server_, runtime_.settings.stop_grace) {}
 
@@ -73,9 +73,9 @@
 
  private:
   http::ServerContext MakeServerContext();
+  TableFollowerHooks MakeTableHooks();
   PeeringHooks MakePeeringHooks();
   std::optional<http::PageAnswer> FindPage(std::string_view path);
-  asio::awaitable<void> FollowTable();
   asio::awaitable<void> FollowTargets();
   asio::awaitable<void> StopGracefully();
   void PutInForce(const table::Table& table);
@@ -84,10 +84,11 @@
 
   Runtime runtime_;
   platform::Client platform_;
-  table::VersionLog versions_;
   dispatch::Dispatcher dispatcher_;
   http::DispatchDriver driver_;
+  TableFollower table_follower_;
   Peering peering_;
+  KeyGate key_gate_;
   std::map<TargetId, std::string> addresses_;
   /// Connections that this VM may hold to each target.
   std::map<TargetId, std::size_t> connection_limits_;
@@ -107,25 +108,39 @@
           [this](TargetId target) { return runtime_.targets.NameOf(target); },
           [this](TargetId target) { peering_.SeeDrainMark(target); },
           [this](std::string_view path) { return FindPage(path); },
-          nullptr,
+          &key_gate_,
           runtime_.settings.vm,
           HostOf(runtime_.settings.listen),
           [this](TargetId target) { return connection_limits_[target]; }};
 }
 
+TableFollowerHooks Daemon::MakeTableHooks() {
+  TableFollowerHooks hooks;
+  hooks.in_force = [this](const table::Table& table) { PutInForce(table); };
+  hooks.caught_up = [this] { runtime_.ready = true; };
+  return hooks;
+}
+
 PeeringHooks Daemon::MakePeeringHooks() {
   PeeringHooks hooks;
   hooks.set_leaving = [this](TargetId target, bool leaving) {
     dispatcher_.SetLeaving(target, leaving, std::chrono::steady_clock::now());
   };
   hooks.newest_table = [this]() -> std::optional<AcceptedTable> {
-    if (versions_.in_force().version == TableVersion{}) {
+    auto newest = table_follower_.Newest();
+    if (!newest) {
       return std::nullopt;
     }
-    return AcceptedTable{versions_.in_force().version, versions_.csv(),
-                         versions_.next()};
+    return AcceptedTable{newest->version, std::move(newest->csv),
+                         newest->through};
+  };
+  hooks.adopt_table = [this](const AcceptedTable& table) {
+    table_follower_.Adopt(table.version, table.csv, table.next);
+  };
+  hooks.find_kept_answer = [this](const peer::wire::KeptAnswerRequest& request,
+                                  peer::wire::KeptAnswer& answer) {
+    key_gate_.FindKeptAnswer(request, answer);
   };
-  hooks.adopt_table = [](const AcceptedTable&) {};
   return hooks;
 }
 
@@ -138,6 +153,10 @@
                ? http::PageAnswer{200, "text/plain", "ready\n"}
                : http::PageAnswer{503, "text/plain", "not ready\n"};
   }
+  if (path == "/table") {
+    return http::PageAnswer{200, "application/json",
+                            table_follower_.RenderPage()};
+  }
   if (path == "/peers") {
     return http::PageAnswer{200, "application/json", peering_.RenderPage()};
   }
@@ -164,23 +183,6 @@
   runtime_.Record(std::move(event));
 }
 
-asio::awaitable<void> Daemon::FollowTable() {
-  for (;;) {
-    const auto read = co_await platform_.Read(std::string(kTableStream),
-                                              versions_.next(), kReadWait);
-    if (read.status != platform::Status::kDone) {
-      co_await Sleep(runtime_.io, kRetryDelay);
-      continue;
-    }
-    for (const LogRecord& record : read.page.records) {
-      if (versions_.Apply(record) == table::Verdict::kAccepted) {
-        PutInForce(versions_.in_force());
-      }
-    }
-    runtime_.ready = versions_.in_force().version != TableVersion{};
-  }
-}
-
 void Daemon::NoteLeaving(const std::vector<platform::TargetEntry>& entries,
                          timeline::HybridTime read) {
   std::vector<membership::ListedTarget> listed;
@@ -226,6 +228,7 @@
     runtime_.ready = false;
     peering_.BeginStop();
   });
+  co_await key_gate_.Drain();
   peering_.Stop();
   runtime_.io.stop();
 }
@@ -243,7 +246,8 @@
                    " could not be bound.");
     return 1;
   }
-  asio::co_spawn(runtime_.io, FollowTable(), asio::detached);
+  table_follower_.Start();
+  key_gate_.Start();
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
   asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
   log::Write(log::Severity::kInfo, "daemon",
