--- a/src/kingcupshed/daemon/key_gate.cc
+++ b/src/kingcupshed/daemon/key_gate.cc
@@ -213,8 +213,8 @@
 asio::awaitable<void> KeyGate::Follow(Partition& partition) {
   Duration wait = kReadWait;
   for (;;) {
-    const auto read = co_await platform_.Read(
-        partition.stream, partition.claims.next(), wait);
+    const auto read = co_await platform_.Read(partition.stream,
+                                              partition.claims.next(), wait);
     const bool done = read.status == platform::Status::kDone;
     // After a failure the next answer is wanted at once.
     wait = done ? kReadWait : Duration::zero();
--- a/test/kingcupshed/system/table_publication.cc
+++ b/test/kingcupshed/system/table_publication.cc
@@ -172,7 +172,7 @@
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(TablePublicationTest)
+BOOST_AUTO_TEST_SUITE(Promise7)
 
 BOOST_AUTO_TEST_CASE(VersionSurvivesOutageRestartAndPause) {
   Fleet fleet;
--- a/test/kingcupshed/table/follower.cc
+++ b/test/kingcupshed/table/follower.cc
@@ -477,6 +477,13 @@
   BOOST_TEST(follower.OnPage(LogOffset{5}, page, start).log_went_back);
 }
 
+BOOST_AUTO_TEST_CASE(NaiveFollowerIsCaught) {
+  // A stale operator loses the race; the naive one obeys both.
+  BOOST_TEST(!Simulation<NaiveFollower>()
+                  .Play({{0, 1, 500}, {0, 1, 500}, {0, 3, 500}})
+                  .empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Promise7)
@@ -493,13 +500,6 @@
                         });
 }
 
-BOOST_AUTO_TEST_CASE(NaiveFollowerIsCaught) {
-  // A stale operator loses the race; the naive one obeys both.
-  BOOST_TEST(!Simulation<NaiveFollower>()
-                  .Play({{0, 1, 500}, {0, 1, 500}, {0, 3, 500}})
-                  .empty());
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::table
