--- a/standin/load_driver_main.cc
+++ b/standin/load_driver_main.cc
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <map>
 #include <random>
 #include <string>
 #include <utility>
@@ -51,6 +52,10 @@
       const Duration measured =
           stream.stop - std::max(stream.start, stream.measure_from);
       streams[stream.name] = standin::ToJson(results_[i], measured);
+      if (const auto group = groups_.find(stream.group);
+          group != groups_.end()) {
+        streams[stream.group] = standin::ToJson(group->second, measured);
+      }
     }
     return {{"seed", plan_.seed},
             {"connections_opened", client_.connections_opened()},
@@ -63,7 +68,9 @@
     const LoadStream& stream = plan_.streams[index];
     std::mt19937_64 random(plan_.seed + index);
     std::exponential_distribution<double> gap(stream.rate);
-    std::uniform_int_distribution<std::size_t> vm(0, plan_.vms.size() - 1);
+    const std::size_t vms =
+        stream.vms.empty() ? plan_.vms.size() : stream.vms.size();
+    std::uniform_int_distribution<std::size_t> draw(0, vms - 1);
     asio::steady_timer timer(io_);
     Duration due = stream.start;
     for (std::uint64_t number = 0;; ++number) {
@@ -78,8 +85,10 @@
       }
       most_behind_ = std::max<Duration>(
           most_behind_, std::chrono::steady_clock::now() - intended);
+      const std::size_t drawn = draw(random);
+      const std::size_t vm = stream.vms.empty() ? drawn : stream.vms[drawn];
       asio::co_spawn(io_,
-                     SendCall(index, MakeCall(stream, vm(random), number),
+                     SendCall(index, MakeCall(stream, vm, number),
                               intended, due >= stream.measure_from),
                      asio::detached);
     }
@@ -111,10 +120,19 @@
     if (!counted) {
       co_return;
     }
-    StreamResults& results = results_[index];
+    const LoadStream& stream = plan_.streams[index];
+    Count(results_[index], answer, latency, stream.deadline);
+    if (!stream.group.empty()) {
+      Count(groups_[stream.group], answer, latency, stream.deadline);
+    }
+  }
+
+  static void Count(StreamResults& results,
+                    const standin::LoadAnswer& answer,
+                    Duration latency,
+                    Duration deadline) {
     results.Count(answer.outcome);
     if (answer.outcome == standin::CallOutcome::kAnswered) {
-      const Duration deadline = plan_.streams[index].deadline;
       results.late += deadline > Duration::zero() && latency > deadline;
       results.latencies.push_back(latency);
       results.bytes += answer.bytes;
@@ -129,6 +147,7 @@
   const LoadPlan& plan_;
   standin::LoadClient client_;
   std::vector<StreamResults> results_;
+  std::map<std::string, StreamResults> groups_;
   TimePoint start_;
   /// Longest time by which a call was sent later than intended.
   Duration most_behind_{};
--- a/standin/load_plan.cc
+++ b/standin/load_plan.cc
@@ -25,6 +25,7 @@
 LoadStream ParseStream(const json::object& object) {
   LoadStream stream;
   stream.name = Text(object, "name");
+  stream.group = Text(object, "group");
   stream.service = Text(object, "service");
   stream.rank = static_cast<int>(Number(object, "rank", stream.rank));
   stream.rate = Number(object, "rate", stream.rate);
@@ -32,6 +33,9 @@
   stream.stop = kingcupshed::FromSeconds(Number(object, "stop_s", 0));
   stream.measure_from =
       kingcupshed::FromSeconds(Number(object, "measure_from_s", 0));
+  if (const json::value* vms = object.if_contains("vms")) {
+    stream.vms = json::value_to<std::vector<std::size_t>>(*vms);
+  }
   stream.path = Text(object, "path");
   stream.body_bytes = static_cast<std::size_t>(Number(object, "body_bytes", 0));
   stream.keyed = object.contains("keyed") && object.at("keyed").as_bool();
--- a/standin/load_plan.h
+++ b/standin/load_plan.h
@@ -14,6 +14,8 @@
 /// Calls of one kind, arriving as a Poisson process.
 struct LoadStream {
   std::string name;
+  /// Further name under which the calls are counted; empty for none.
+  std::string group;
   std::string service;
   /// Rank sent with each call, 1 to 3.
   int rank = 2;
@@ -24,6 +26,8 @@
   kingcupshed::Duration stop{};
   /// Calls intended before this instant are sent but not counted.
   kingcupshed::Duration measure_from{};
+  /// Positions in the plan's list of VMs; every VM when empty.
+  std::vector<std::size_t> vms;
   /// Path below the service, as in `file/4096`.
   std::string path;
   /// Size of the request's body; a call without one is a GET.
