--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -55,10 +55,10 @@
     try:
         cluster.start_all()
         background = faults(cluster, service, options.seed)
-        before = cluster.counters(service)
+        before = cluster.service_counters(service)
         windows = []
         watch = Background(1.0, lambda: windows.append(
-            sum(c["probe_us"] for c in cluster.counters(service).values())))
+            sum(c["probe_us"] for c in cluster.service_counters(service).values())))
         try:
             result = load.run_load(cluster.folder, cluster.addresses(),
                                    region_streams(cluster, share, options),
@@ -66,7 +66,7 @@
         finally:
             watch.stop()
             background.stop()
-        after = cluster.counters(service)
+        after = cluster.service_counters(service)
     finally:
         cluster.stop()
     streams = result["streams"]
@@ -369,7 +369,7 @@
             if target["name"] not in home_targets:
                 cluster.control(target["name"], refuse=True)
         watch = Background(1.0, lambda: windows.append(
-            sum(cluster.counters(files)[name]["bytes_out"]
+            sum(cluster.service_counters(files)[name]["bytes_out"]
                 for name in home_targets)))
         result = load.run_load(cluster.folder, cluster.addresses(), streams,
                                options.seed)["streams"]
--- a/scripts/lib/bench_cluster.py
+++ b/scripts/lib/bench_cluster.py
@@ -6,9 +6,8 @@
 import random
 import threading
 import time
-import urllib.request
 
-from cluster import BUILD, Cluster, http_get, wait_until
+from cluster import Cluster, http_get
 import load
 
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
@@ -29,41 +28,21 @@
 
 
 class BenchCluster(Cluster):
-    """Runs one target stand-in per service, each with a control address."""
+    """A cluster whose VMs write no events and stop at once."""
 
     def __init__(self, name, policy=None, fixed=False, **options):
         settings = {"event_file": None, "log_level": "warning",
+                    "stop_grace_ms": 1,
                     **options.pop("settings", {})}
         if policy is not None:
             settings["policy"] = policy
         super().__init__(name, settings=settings, **options)
         self.fixed = fixed
-        self.controls = {
-            service["name"]: f"{self.prefix}.3.{i + 1}:9100"
-            for i, service in enumerate(self.spec["services"])}
-
-    def start_targets(self):
-        for service, control in self.controls.items():
-            command = [BUILD / "target_standin", self.deployment_file,
-                       "--service", service, "--control", control]
-            if self.fixed:
-                command.append("--fixed")
-            self.start(f"targets-{service}", command)
-        if not wait_until(lambda: all(
-                http_get(control, "/counters")[0] == 200
-                for control in self.controls.values())):
-            raise RuntimeError("a target stand-in does not answer")
-
-    def control(self, target, **change):
-        """Changes the behaviour of a target, of a service, or of all ('*')."""
-        service = target.rsplit("-", 1)[0]
-        for name, control in self.controls.items():
-            if target == "*" or service == name or target == name:
-                body = json.dumps({"target": target, **change}).encode()
-                urllib.request.urlopen(f"http://{control}/control", body,
-                                       timeout=5).read()
-
-    def counters(self, service):
+
+    def start_targets(self, options=()):
+        super().start_targets(["--fixed"] if self.fixed else options)
+
+    def service_counters(self, service):
         """Returns the counts of each target of a service."""
         return json.loads(http_get(self.controls[service], "/counters", 5)[1])
 
--- a/standin/load_driver_main.cc
+++ b/standin/load_driver_main.cc
@@ -88,8 +88,8 @@
       const std::size_t drawn = draw(random);
       const std::size_t vm = stream.vms.empty() ? drawn : stream.vms[drawn];
       asio::co_spawn(io_,
-                     SendCall(index, MakeCall(stream, vm, number),
-                              intended, due >= stream.measure_from),
+                     SendCall(index, MakeCall(stream, vm, number), intended,
+                              due >= stream.measure_from),
                      asio::detached);
     }
   }
