--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -271,17 +271,16 @@
     return result, [("failed", 0, None), ("p99_ratio", 1.2, None)]
 
 
-ADDED_RATES = (200, 1000, 3000)
+ADDED_RATES = (500, 1500, 4000)
 IDLE_CONNECTIONS = 2000
 
 
 def run_added(options, policy):
     """The same calls to the targets directly and through one VM."""
     cluster = BenchCluster(options.deployment, policy_setting(policy), vms=1,
-                           fixed=True)
-    zone = cluster.vms[0]["zone"]
+                           fixed=True, one_zone=True)
     service = cluster.spec["services"][0]["name"]
-    local = [t for t in cluster.service_targets(service) if t["zone"] == zone]
+    targets = [t["address"] for t in cluster.service_targets(service)]
     seconds = options.seconds / (2 * len(ADDED_RATES))
     steps = []
     try:
@@ -291,8 +290,7 @@
         for rate in ADDED_RATES:
             stream = load.stream("added", service, 1, rate, seconds,
                                  measure_from_s=seconds / 4)
-            direct = load.run_load(cluster.folder,
-                                   [t["address"] for t in local], [stream],
+            direct = load.run_load(cluster.folder, targets, [stream],
                                    options.seed)["streams"]["added"]
             cpu = cpu_seconds(pid)
             through = load.run_load(cluster.folder, cluster.addresses(),
@@ -396,13 +394,16 @@
 
 
 def control_bytes(cluster):
-    """Returns the bytes of control traffic of each VM so far."""
+    """Returns the bytes of control traffic of each VM so far, or None."""
     totals = {}
     for vm in cluster.vms:
         page = http_get(vm["address"], "/metrics")[1].decode()
-        totals[vm["name"]] = sum(
-            float(line.rsplit(" ", 1)[1]) for line in page.splitlines()
-            if line.startswith("kingcupshed_control_bytes_total"))
+        lines = [line for line in page.splitlines()
+                 if line.startswith("kingcupshed_control_bytes_total")]
+        if not lines:
+            return None
+        totals[vm["name"]] = sum(float(line.rsplit(" ", 1)[1])
+                                 for line in lines)
     return totals
 
 
@@ -427,8 +428,8 @@
             length = time.monotonic() - start
             now = control_bytes(cluster)
             answer[name] = {
-                "bytes_per_s": round(max((now[vm] - sent[vm]) / length
-                                         for vm in pids)),
+                "bytes_per_s": None if sent is None else round(
+                    max((now[vm] - sent[vm]) / length for vm in pids)),
                 "cpu_share": round(max((cpu_seconds(pid) - cpu[vm]) / length
                                        for vm, pid in pids.items()), 4),
                 "memory_mb": round(max(map(memory_mb, pids.values())), 1)}
@@ -437,8 +438,8 @@
     stream = work_result["streams"]["lookups"]
     return {"p50_ms": round(stream["p50_ms"], 2),
             "p99_ms": round(stream["p99_ms"], 2),
-            "bytes_per_s": max(answer["idle"]["bytes_per_s"],
-                               answer["busy"]["bytes_per_s"]),
+            "bytes_per_s": max((answer[phase]["bytes_per_s"] for phase in
+                                ("idle", "busy")), key=lambda b: b or 0),
             "cpu_share": answer["idle"]["cpu_share"],
             "memory_mb": answer["busy"]["memory_mb"], **answer}
 
--- a/scripts/lib/bench_cluster.py
+++ b/scripts/lib/bench_cluster.py
@@ -30,7 +30,13 @@
 class BenchCluster(Cluster):
     """A cluster whose VMs write no events and stop at once."""
 
-    def __init__(self, name, policy=None, fixed=False, **options):
+    def __init__(self, name, policy=None, fixed=False, one_zone=False,
+                 **options):
+        """
+        policy: routing policy; the VM's own when None.
+        fixed: service times don't vary.
+        one_zone: only the targets in the zone of the first VM.
+        """
         settings = {"event_file": None, "log_level": "warning",
                     "stop_grace_ms": 1,
                     **options.pop("settings", {})}
@@ -38,6 +44,11 @@
             settings["policy"] = policy
         super().__init__(name, settings=settings, **options)
         self.fixed = fixed
+        if one_zone:
+            self.targets = [target for target in self.targets
+                            if target["zone"] == self.vms[0]["zone"]]
+            self.deployment_file.write_text(json.dumps(
+                {**self.spec, "vms": self.vms, "targets": self.targets}))
 
     def start_targets(self, options=()):
         super().start_targets(["--fixed"] if self.fixed else options)
