--- a/scripts/lib/bench_cluster.py
+++ b/scripts/lib/bench_cluster.py
@@ -43,6 +43,8 @@
         if policy is not None:
             settings["policy"] = policy
         super().__init__(name, settings=settings, **options)
+        # Limits of the fleet are split by this number.
+        self.settings["max_vms"] = len(self.vms)
         self.fixed = fixed
         if one_zone:
             self.targets = [target for target in self.targets
