Merge events of files and live VMs into one time line

Purpose: one ordered view over all processes. Text, JSON and a page of its own; the page was not looked at in a browser, as none is on this machine.

--- a/src/kingcupshed/cli/commands.h
+++ b/src/kingcupshed/cli/commands.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "kingcupshed/cli/exit_status.h"
+#include "kingcupshed/timeline/line.h"
 
 namespace kingcupshed::cli {
 
@@ -29,4 +32,22 @@
 /// Publishes a table and prints the verdict.
 [[nodiscard]] ExitStatus PublishTable(const PublishOptions& options);
 
+/// Options of `timeline`.
+struct TimelineOptions {
+  /// Files with an event as JSON in each line.
+  std::vector<std::string> files;
+  /// Addresses of VMs whose kept events are fetched.
+  std::vector<std::string> vms;
+  timeline::Filter filter;
+  /// Wall milliseconds since the epoch between which events are shown; zero
+  /// for no bound.
+  std::uint64_t from_ms = 0;
+  std::uint64_t to_ms = 0;
+  /// `text`, `json` or `html`.
+  std::string format = "text";
+};
+
+/// Merges events of files and live VMs and prints them in order.
+[[nodiscard]] ExitStatus ShowTimeline(const TimelineOptions& options);
+
 }  // namespace kingcupshed::cli
--- a/src/kingcupshed/cli/main.cc
+++ b/src/kingcupshed/cli/main.cc
@@ -55,6 +55,31 @@
     command = [&] { return kingcupshed::cli::PublishTable(publish_options); };
   });
 
+  kingcupshed::cli::TimelineOptions timeline_options;
+  CLI::App* timeline = app.add_subcommand(
+      "timeline",
+      "Show the events of several processes in one order, as in\n"
+      "  kingcupshed timeline a.events b.events --target arendeinfo-3\n"
+      "  kingcupshed timeline --vm 127.0.1.1:8080 --format html > line.html");
+  timeline->add_option("files", timeline_options.files, "Files of events");
+  timeline->add_option("--vm", timeline_options.vms, "Address of a live VM");
+  timeline->add_option("--call", timeline_options.filter.call, "Call");
+  timeline->add_option("--target", timeline_options.filter.target, "Target");
+  timeline->add_option("--process", timeline_options.filter.vm,
+                       "VM that recorded an event or that it concerns");
+  timeline->add_option("--service", timeline_options.filter.service, "Service");
+  timeline->add_option("--part", timeline_options.filter.part, "Part");
+  timeline->add_option("--kind", timeline_options.filter.kind, "Kind of event");
+  timeline->add_option("--from-ms", timeline_options.from_ms,
+                       "First wall millisecond shown");
+  timeline->add_option("--to-ms", timeline_options.to_ms,
+                       "Last wall millisecond shown");
+  timeline->add_option("--format", timeline_options.format,
+                       "text, json or html");
+  timeline->callback([&] {
+    command = [&] { return kingcupshed::cli::ShowTimeline(timeline_options); };
+  });
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
