--- a/standin/slopes_main.cc
+++ b/standin/slopes_main.cc
@@ -27,7 +27,9 @@
 
 constexpr std::size_t kCalls = 5'000;
 constexpr std::size_t kRounds = 300;
-constexpr Duration kGap = std::chrono::milliseconds(1);
+/// Gaps between calls: short enough that housekeeping hardly counts, and long.
+constexpr Duration kShortGap = std::chrono::microseconds(10);
+constexpr Duration kLongGap = std::chrono::milliseconds(1);
 
 /// Returns the processor time that this process has used.
 Duration CpuTime() {
@@ -77,11 +79,14 @@
 }
 
 /// Runs whole calls through a dispatcher, one after the other.
-void RunCalls(dispatch::Dispatcher& dispatcher,
-              ServiceId service,
-              TimePoint now) {
+/// @return Processor time spent.
+Duration RunCalls(dispatch::Dispatcher& dispatcher,
+                  ServiceId service,
+                  TimePoint now,
+                  Duration gap) {
+  const Duration before = CpuTime();
   for (std::uint64_t number = 1; number <= kCalls; ++number) {
-    now += kGap;
+    now += gap;
     dispatch::CallArrived arrived;
     arrived.call = CallId{number};
     arrived.service = service;
@@ -101,6 +106,7 @@
           now));
     }
   }
+  return CpuTime() - before;
 }
 
 json::object MeasureDispatch(std::size_t targets, std::size_t services) {
@@ -111,16 +117,20 @@
                       names);
   dispatcher.SetTargets(MakeTargets(targets, services));
   const TimePoint begin{std::chrono::hours(1)};
-  RunCalls(dispatcher, ServiceId{}, begin);
+  RunCalls(dispatcher, ServiceId{}, begin, kLongGap);
   const double bytes = BytesEach(heap, targets);
-  const Duration start = CpuTime();
-  RunCalls(dispatcher, ServiceId{}, begin + kGap * kCalls);
-  const Duration calls = CpuTime() - start;
+  const Duration dense =
+      RunCalls(dispatcher, ServiceId{}, begin + kLongGap * kCalls, kShortGap);
+  const Duration sparse = RunCalls(dispatcher, ServiceId{},
+                                   begin + 2 * kLongGap * kCalls, kLongGap);
   const Duration list_start = CpuTime();
   dispatcher.SetTargets(MakeTargets(targets, services));
   return {{"targets", targets},
           {"services", services},
-          {"us_per_call", MicrosecondsEach(calls, kCalls)},
+          {"us_per_call", MicrosecondsEach(dense, kCalls)},
+          {"housekeeping_core_share",
+           kingcupshed::ToSeconds(sparse - dense) /
+               kingcupshed::ToSeconds(kLongGap * kCalls)},
           {"bytes_per_target", bytes},
           {"us_per_list", MicrosecondsEach(CpuTime() - list_start, 1)}};
 }
@@ -142,7 +152,8 @@
   auto versions = std::make_unique<table::VersionLog>();
   LogRecord record;
   record.id = "first";
-  record.payload = table::ToPayload({TableVersion{}, "operator", csv});
+  record.payload =
+      table::ToPayload(table::Publication{TableVersion{}, "operator", csv});
   const Duration start = CpuTime();
   versions->Apply(record);
   const Duration apply = CpuTime() - start;
