--- a/src/kingcupshed/cli/commands.h
+++ b/src/kingcupshed/cli/commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
   long long base = -1;
   /// Waits until each VM has the version in force, and prints them.
   bool wait = false;
+  /// Time after which publishing, and then waiting, is given up.
+  std::chrono::milliseconds timeout{10'000};
 };
 
 /// Publishes a table and prints the verdict.
@@ -50,4 +53,16 @@
 /// Merges events of files and live VMs and prints them in order.
 [[nodiscard]] ExitStatus ShowTimeline(const TimelineOptions& options);
 
+/// Options of `table show` and `table status`.
+struct StatusOptions {
+  std::string platform;
+  bool json = false;
+};
+
+/// Prints the table in force as the log has it.
+[[nodiscard]] ExitStatus ShowTable(const StatusOptions& options);
+
+/// Prints the version in force on each VM.
+[[nodiscard]] ExitStatus ShowTableStatus(const StatusOptions& options);
+
 }  // namespace kingcupshed::cli
