--- a/src/kingcupshed/settings/internal/duplicate_keys.cc
+++ b/src/kingcupshed/settings/internal/duplicate_keys.cc
@@ -13,10 +13,13 @@
 
 /// Receives the parser's events and keeps the keys of each open object.
 struct KeyHandler {
+  // The parser asks for these names.
+  // NOLINTBEGIN(readability-identifier-naming)
   static constexpr std::size_t max_object_size = std::size_t(-1);
   static constexpr std::size_t max_array_size = std::size_t(-1);
   static constexpr std::size_t max_key_size = std::size_t(-1);
   static constexpr std::size_t max_string_size = std::size_t(-1);
+  // NOLINTEND(readability-identifier-naming)
 
   using Code = boost::system::error_code;
 
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -199,6 +199,7 @@
 
 void FailUnknownKey(const Field& field, std::string_view name) {
   std::vector<std::string_view> known;
+  known.reserve(kKeys.size());
   for (const Key& key : kKeys) {
     known.push_back(key.name);
   }
--- a/test/kingcupshed/system/table_publication.cc
+++ b/test/kingcupshed/system/table_publication.cc
@@ -153,7 +153,7 @@
   }
 
   [[nodiscard]] std::string SettingsOf(int index) const {
-    const std::string file = File("vm-" + std::to_string(index) + ".json");
+    std::string file = File("vm-" + std::to_string(index) + ".json");
     std::ofstream(file) << json::serialize(
         json::object{{"vm", "vm-" + std::to_string(index)},
                      {"zone", "a"},
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -15,6 +15,7 @@
 Process::Process(const std::vector<std::string>& arguments,
                  const std::string& output) {
   std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     pointers.push_back(const_cast<char*>(argument.c_str()));
   }
