--- a/test/support/promise.h
+++ b/test/support/promise.h
@@ -25,7 +25,7 @@
   const auto& params = rc::detail::configuration().testParams;
   const rc::detail::TestResult result = rc::detail::checkTestable(
       std::forward<Property>(property), metadata, params);
-  rc::detail::SuccessResult success;
+  rc::detail::SuccessResult success{};
   const bool passed = result.match(success);
   std::cout << "promise " << number << " name=" << name
             << " histories=" << success.numSuccess
