--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -186,6 +186,7 @@
 void Daemon::NoteLeaving(const std::vector<platform::TargetEntry>& entries,
                          timeline::HybridTime read) {
   std::vector<membership::ListedTarget> listed;
+  listed.reserve(entries.size());
   for (const platform::TargetEntry& entry : entries) {
     listed.push_back({runtime_.targets.Intern(entry.name), entry.leaving});
   }
--- a/src/kingcupshed/table/table.cc
+++ b/src/kingcupshed/table/table.cc
@@ -281,6 +281,7 @@
 
 std::vector<std::string> ColumnNames() {
   std::vector<std::string> names;
+  names.reserve(kColumns.size());
   for (const Column& column : kColumns) {
     names.emplace_back(column.name);
   }
