Serve dispatch counters as /metrics and write events to a file

Purpose: operators read rows, targets and the process in Prometheus text, and event files feed the time line. Latency quantiles by Boost.Accumulators and control bytes are not there yet.

--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "kingcupshed/daemon/key_gate.h"
+#include "kingcupshed/daemon/metrics_page.h"
 #include "kingcupshed/daemon/peering.h"
 #include "kingcupshed/daemon/runtime.h"
 #include "kingcupshed/daemon/stop_driver.h"
@@ -78,11 +79,14 @@
   std::optional<http::PageAnswer> FindPage(std::string_view path);
   asio::awaitable<void> FollowTargets();
   asio::awaitable<void> StopGracefully();
+  void OpenEventFile();
   void PutInForce(const table::Table& table);
   void NoteLeaving(const std::vector<platform::TargetEntry>& entries,
                    timeline::HybridTime read);
 
   Runtime runtime_;
+  /// Gets each event as a JSON line when the settings name a file.
+  std::ofstream event_file_;
   platform::Client platform_;
   dispatch::Dispatcher dispatcher_;
   http::DispatchDriver driver_;
@@ -157,6 +161,11 @@
     return http::PageAnswer{200, "application/json",
                             table_follower_.RenderPage()};
   }
+  if (path == "/metrics") {
+    return http::PageAnswer{200, "text/plain; version=0.0.4",
+                            RenderMetrics(runtime_, dispatcher_.ReadCounters(),
+                                          server_.connections())};
+  }
   if (path == "/peers") {
     return http::PageAnswer{200, "application/json", peering_.RenderPage()};
   }
@@ -233,7 +242,24 @@
   runtime_.io.stop();
 }
 
+void Daemon::OpenEventFile() {
+  const std::string& path = runtime_.settings.event_file;
+  if (path.empty()) {
+    return;
+  }
+  event_file_.open(path, std::ios::app);
+  if (!event_file_) {
+    log::Write(log::Severity::kWarning, "daemon",
+               "The event file " + path + " could not be opened.");
+    return;
+  }
+  runtime_.recorder.SetSink([this](const timeline::Event& event) {
+    event_file_ << timeline::ToJsonLine(event) << '\n';
+  });
+}
+
 int Daemon::Run() {
+  OpenEventFile();
   if (!server_.Listen(runtime_.settings.listen)) {
     log::Write(
         log::Severity::kError, "daemon",
--- /dev/null
+++ b/src/kingcupshed/metrics/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace kingcupshed::metrics {
+
+class TextPage;
+
+}  // namespace kingcupshed::metrics
--- /dev/null
+++ b/src/kingcupshed/metrics/text_page.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kingcupshed::metrics {
+
+/// One label of a sample.
+struct Label {
+  std::string_view name;
+  std::string_view value;
+};
+
+/// Builds a page of metrics in Prometheus' text format.
+class TextPage {
+ public:
+  /// Adds a sample of a counter; samples of one name follow each other.
+  void AddCounter(std::string_view name,
+                  const std::vector<Label>& labels,
+                  double value);
+
+  /// Adds a sample of a gauge; samples of one name follow each other.
+  void AddGauge(std::string_view name,
+                const std::vector<Label>& labels,
+                double value);
+
+  /// Returns the page.
+  [[nodiscard]] const std::string& text() const noexcept { return text_; }
+
+ private:
+  void Add(std::string_view type,
+           std::string_view name,
+           const std::vector<Label>& labels,
+           double value);
+
+  std::string text_;
+  std::string last_name_;
+};
+
+}  // namespace kingcupshed::metrics
