--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -254,7 +254,7 @@
     return;
   }
   runtime_.recorder.SetSink([this](const timeline::Event& event) {
-    event_file_ << timeline::ToJsonLine(event) << '\n';
+    event_file_ << timeline::ToJsonLine(event) << '\n' << std::flush;
   });
 }
 
