--- a/src/kingcupshed/daemon/key_gate.cc
+++ b/src/kingcupshed/daemon/key_gate.cc
@@ -192,13 +192,29 @@
 
 void KeyGate::FindKeptAnswer(const peer::wire::KeptAnswerRequest& request,
                              KeptAnswer& answer) const {
-  const Run run = answers_.Find(request.claim());
+  const Run run = FindRun(request.claim());
   answer.set_state(kWireStates[static_cast<std::size_t>(run.state)]);
   answer.set_code(run.answer.code);
   answer.set_content_type(run.answer.content_type);
   answer.set_body(run.answer.body);
 }
 
+Run KeyGate::FindRun(const std::string& claim) const {
+  Run run = answers_.Find(claim);
+  if (run.state != RunState::kAbsent) {
+    return run;
+  }
+  for (const Partition& partition : partitions_) {
+    if (partition.claims.IsWaiting(claim)) {
+      // Another VM has read the claim before this one did.
+      run.state = RunState::kRunning;
+    } else if (partition.claims.IsGivenUp(claim)) {
+      run.state = RunState::kNotRun;
+    }
+  }
+  return run;
+}
+
 asio::awaitable<void> KeyGate::Drain() {
   const TimePoint limit = SteadyNow() + kDrainTimeout;
   const auto is_open = [](const Partition& partition) {
@@ -213,8 +229,8 @@
 asio::awaitable<void> KeyGate::Follow(Partition& partition) {
   Duration wait = kReadWait;
   for (;;) {
-    const auto read = co_await platform_.Read(
-        partition.stream, partition.claims.next(), wait);
+    const auto read = co_await platform_.Read(partition.stream,
+                                              partition.claims.next(), wait);
     const bool done = read.status == platform::Status::kDone;
     // After a failure the next answer is wanted at once.
     wait = done ? kReadWait : Duration::zero();
@@ -258,11 +274,15 @@
   }
   for (Decision& decision : partition.claims.TakeDecisions()) {
     const auto waiter = partition.waiters.find(decision.ticket);
+    if (decision.kind == Decision::Kind::kRun) {
+      answers_.Start(decision.claim);
+    }
     if (waiter != partition.waiters.end()) {
       waiter->second->decision = std::move(decision);
       waiter->second->wake.cancel();
     } else if (decision.kind == Decision::Kind::kRun) {
       // Its call is gone: nothing will run.
+      answers_.End(decision.claim, RunState::kNotRun, {});
       partition.claims.Finish(decision.claim, false);
     }
   }
@@ -287,7 +307,6 @@
         asio::redirect_error(asio::use_awaitable, error));
   }
   if (waiter.decision->kind == Decision::Kind::kRun) {
-    answers_.Start(waiter.decision->claim);
     running_[key] = waiter.decision->claim;
   }
   co_return *std::move(waiter.decision);
@@ -299,7 +318,7 @@
   int failed = 0;
   for (;;) {
     if (decision.owner == runtime_.settings.vm) {
-      run = answers_.Find(decision.claim);
+      run = FindRun(decision.claim);
     } else if (const auto fetched = co_await FetchRun(call, decision)) {
       run = *fetched;
     } else if (++failed >= kMaxFailedFetches) {
--- a/src/kingcupshed/daemon/key_gate.h
+++ b/src/kingcupshed/daemon/key_gate.h
@@ -79,6 +79,7 @@
   boost::asio::awaitable<std::optional<once::Run>> FetchRun(
       const http::KeyedCall& call,
       const once::Decision& decision);
+  [[nodiscard]] once::Run FindRun(const std::string& claim) const;
   void Pump(Partition& partition);
   void Count(const http::KeyDecision& decision, const http::KeyedCall& call);
   Partition& PartitionOf(const std::string& key);
--- a/src/kingcupshed/once/claims.h
+++ b/src/kingcupshed/once/claims.h
@@ -123,6 +123,16 @@
     return releases_.size();
   }
 
+  /// Returns whether an own claim still waits to be read back.
+  [[nodiscard]] bool IsWaiting(const std::string& claim) const {
+    return waiting_.contains(claim);
+  }
+
+  /// Returns whether an own claim was given up and never runs.
+  [[nodiscard]] bool IsGivenUp(const std::string& claim) const {
+    return releases_.contains(claim) || released_.contains(claim);
+  }
+
   /// Returns the number of keys known.
   [[nodiscard]] std::size_t known_keys() const noexcept {
     return owners_.size();
