--- a/test/kingcupshed/system/keyed_calls.cc
+++ b/test/kingcupshed/system/keyed_calls.cc
@@ -44,23 +44,20 @@
   Cluster()
       : prefix_("127." + std::to_string(1 + getpid() % 250)),
         folder_(std::filesystem::temp_directory_path() /
-                ("kingcupshed-" + std::to_string(getpid()))),
-        programs_(Folder("KINGCUPSHED_BIN")) {
+                ("kingcupshed-keys-" + std::to_string(getpid()))) {
     std::filesystem::create_directories(folder_);
     WriteDeployment();
-    processes_.emplace(
-        "platform", std::vector<std::string>{programs_ + "/platform_standin",
-                                             Platform(), File("deployment")});
-    processes_.emplace(
-        "target",
-        std::vector<std::string>{programs_ + "/target_standin",
-                                 File("deployment"), "--control", Control()});
+    Start("platform", {support::ProgramPath("platform_standin"), Platform(),
+                       File("deployment")});
+    Start("target", {support::ProgramPath("target_standin"), File("deployment"),
+                     "--control", Control()});
     WaitUntil([this] { return Get(Platform(), "/control").code == 200; });
     WaitUntil([this] { return Get(Control(), "/journal").code == 200; });
     support::Process publish(
-        {programs_ + "/kingcupshed", "table", "publish",
+        {support::ProgramPath("kingcupshed"), "table", "publish",
          Folder("KINGCUPSHED_ROOT") + "/examples/norrvik/table.csv",
-         "--platform", Platform(), "--author", "test"});
+         "--platform", Platform(), "--author", "test"},
+        File("publish"));
     BOOST_REQUIRE(publish.Wait() == 0);
     for (int vm = 0; vm < kVms; ++vm) {
       StartVm(vm);
@@ -71,7 +68,10 @@
     WaitUntil([this] { return KnowsAllVms(); });
   }
 
-  ~Cluster() { std::filesystem::remove_all(folder_); }
+  ~Cluster() {
+    processes_.clear();
+    std::filesystem::remove_all(folder_);
+  }
 
   /// Sends the same keyed booking to several VMs at once.
   std::vector<http::FetchResult> Book(const std::vector<int>& vms,
@@ -149,6 +149,11 @@
     return alive == kVms;
   }
 
+  void Start(const std::string& name,
+             const std::vector<std::string>& arguments) {
+    processes_.try_emplace(name, arguments, File(name + "-output"));
+  }
+
   void StartVm(int vm) {
     const std::string name = "vm" + std::to_string(vm);
     Write(name, {{"vm", name},
@@ -202,7 +207,6 @@
 
   std::string prefix_;
   std::filesystem::path folder_;
-  std::string programs_;
   std::map<std::string, support::Process> processes_;
 };
 
--- a/test/support/process.h
+++ b/test/support/process.h
@@ -1,61 +1,35 @@
 #pragma once
 
-#include <fcntl.h>
-#include <sys/wait.h>
-#include <unistd.h>
+#include <sys/types.h>
 
-#include <csignal>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace kingcupshed::support {
 
-/// A child process of a test; killed and reaped when it goes out of scope.
+/// A process that a test started; killed and waited for when it goes.
 class Process {
  public:
-  /// Starts a program; its output is dropped.
-  /// @param arguments Path of the program and its arguments.
-  explicit Process(const std::vector<std::string>& arguments) : pid_(::fork()) {
-    if (pid_ != 0) {
-      return;
-    }
-    const int null = ::open("/dev/null", O_RDWR);
-    ::dup2(null, STDOUT_FILENO);
-    ::dup2(null, STDERR_FILENO);
-    std::vector<char*> argv;
-    for (const std::string& argument : arguments) {
-      argv.push_back(const_cast<char*>(argument.c_str()));
-    }
-    argv.push_back(nullptr);
-    ::execv(argv[0], argv.data());
-    ::_exit(127);
-  }
-
-  ~Process() {
-    if (pid_ > 0) {
-      Signal(SIGKILL);
-      Wait();
-    }
-  }
-
-  Process(Process&& other) noexcept : pid_(std::exchange(other.pid_, -1)) {}
-  Process& operator=(Process&&) = delete;
-
-  /// Sends a signal to the process.
-  void Signal(int signal) const { ::kill(pid_, signal); }
-
-  /// Waits for the process to end.
-  /// @return Its exit status, or -1 when a signal ended it.
-  int Wait() {
-    int status = 0;
-    ::waitpid(pid_, &status, 0);
-    pid_ = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-  }
+  /// Starts a program.
+  /// @param arguments Program and its arguments.
+  /// @param output File that gets its standard output and error.
+  Process(const std::vector<std::string>& arguments, const std::string& output);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  /// Sends a signal to this process alone.
+  void Signal(int signal) const;
+
+  /// Waits for the end of the process.
+  /// @return Its exit status, or minus the signal that ended it.
+  int Wait();
 
  private:
-  pid_t pid_;
+  pid_t id_ = 0;
 };
 
+/// Returns the path of a program that the build made.
+[[nodiscard]] std::string ProgramPath(const std::string& name);
+
 }  // namespace kingcupshed::support
