--- a/test/kingcupshed/system/keyed_calls.cc
+++ b/test/kingcupshed/system/keyed_calls.cc
@@ -162,9 +162,8 @@
                  {"listen", Address(vm)},
                  {"peer_listen", PeerAddress(vm)},
                  {"platform", Platform()}});
-    processes_.emplace(
-        name, std::vector<std::string>{programs_ + "/kingcupshed", "run",
-                                       "--settings", File(name)});
+    Start(name, {support::ProgramPath("kingcupshed"), "run", "--settings",
+                 File(name)});
   }
 
   void WriteDeployment() {
