--- a/src/kingcupshed/http/internal/target_pool.cc
+++ b/src/kingcupshed/http/internal/target_pool.cc
@@ -175,7 +175,7 @@
   Entry& entry = entries_[target];
   const TimePoint now = std::chrono::steady_clock::now();
   const Duration late = LateAfter(target);
-  std::size_t count = 0;
+  std::size_t count = 1;  // The late connection, which is closed already.
   for (auto next = entry.connections.begin();
        next != entry.connections.end();) {
     auto here = next++;
@@ -192,7 +192,7 @@
       entry.connections.erase(here);
     }
   }
-  if (count > 0 && context_.on_retired) {
+  if (context_.on_retired) {
     context_.on_retired(target, count);
   }
 }
--- /dev/null
+++ b/test/kingcupshed/system/whole_answers.cc
@@ -0,0 +1,126 @@
+#include <csignal>
+#include <future>
+#include <iterator>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "kingcupshed/http/fetch.h"
+#include "standin/pattern.h"
+#include "support/deployment.h"
+
+namespace kingcupshed {
+
+namespace {
+
+using http::FetchStatus;
+
+constexpr std::size_t kLongFile = 50'000'000;
+constexpr long kMaxVmMemoryKib = 64L * 1024;
+
+http::FetchRequest Request(const support::Deployment& deployment,
+                           std::string path) {
+  http::FetchRequest request;
+  request.address = deployment.vm_address();
+  request.path = std::move(path);
+  request.timeout = std::chrono::seconds(30);
+  return request;
+}
+
+std::string FilePath(std::size_t size) {
+  return "/files/file/" + std::to_string(size);
+}
+
+/// Starts a download in a thread of its own.
+std::future<http::FetchResult> Download(const support::Deployment& deployment,
+                                        std::size_t size) {
+  return std::async(std::launch::async,
+                    [request = Request(deployment, FilePath(size))] {
+                      return support::Deployment::Get(request);
+                    });
+}
+
+bool IsFile(const http::FetchResult& result, std::size_t size) {
+  return result.status == FetchStatus::kAnswered && result.code == 200 &&
+         result.body == standin::Pattern(FilePath(size)).Read(0, size);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(Promise2)
+
+BOOST_AUTO_TEST_CASE(LongBodiesPassInBoundedMemory) {
+  const support::Deployment deployment;
+  BOOST_TEST(IsFile(Download(deployment, kLongFile).get(), kLongFile));
+  http::FetchRequest upload = Request(deployment, "/files/upload");
+  upload.method = "POST";
+  upload.body = std::string(kLongFile, 'x');
+  const auto answer = support::Deployment::Get(upload);
+  BOOST_TEST(answer.code == 200U);
+  BOOST_TEST(answer.body.find("bytes=" + std::to_string(kLongFile)) !=
+             std::string::npos);
+  BOOST_TEST(deployment.VmPeakMemory() < kMaxVmMemoryKib);
+}
+
+BOOST_AUTO_TEST_CASE(ADownloadOutlivesTheKillingOfItsTarget) {
+  support::Deployment deployment;
+  auto download = Download(deployment, kLongFile);
+  support::Deployment::Await([&] {
+    return deployment.Count(0, "bytes_out") + deployment.Count(1, "bytes_out") >
+           0;
+  });
+  const bool first = deployment.Count(0, "bytes_out") > 0;
+  (first ? deployment.targets.front() : *std::next(deployment.targets.begin()))
+      .Signal(SIGKILL);
+  BOOST_TEST(IsFile(download.get(), kLongFile));
+  const std::string events =
+      support::Deployment::Get(Request(deployment, "/events")).body;
+  BOOST_TEST(events.find("answer_resumed") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(SilentConnectionsAreLeftWhileNewOnesWork) {
+  const support::Deployment deployment;
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(support::Deployment::Get(Request(deployment, "/files/x")).code ==
+               200U);
+  }
+  deployment.Switch(0, {{"silent", true}});
+  deployment.Switch(1, {{"silent", true}});
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(support::Deployment::Get(Request(deployment, "/files/x")).code ==
+               200U);
+  }
+  const auto taken = std::chrono::steady_clock::now() - start;
+  BOOST_TEST((taken < std::chrono::seconds(5)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Promise6)
+
+BOOST_AUTO_TEST_CASE(AStopCutsOffNoRequest) {
+  support::Deployment deployment;
+  auto download = Download(deployment, kLongFile);
+  http::FetchRequest order = Request(deployment, "/orders/booking");
+  order.method = "POST";
+  order.headers["Work-Ms"] = "1500";
+  order.headers["Idempotency-Key"] = "key-1";
+  auto ordered = std::async(std::launch::async,
+                            [&] { return support::Deployment::Get(order); });
+  support::Deployment::Await([&] {
+    return deployment.Count(2, "started") + deployment.Count(3, "started") > 0;
+  });
+  deployment.vm.front().Signal(SIGTERM);
+  deployment.vm.front().Signal(SIGINT);
+  // The balancer has not noticed yet.
+  BOOST_TEST(support::Deployment::Get(Request(deployment, "/files/x")).code ==
+             200U);
+  BOOST_TEST(IsFile(download.get(), kLongFile));
+  BOOST_TEST(ordered.get().code == 200U);
+  BOOST_TEST(deployment.vm.front().Wait() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kingcupshed
