--- a/test/support/deployment.h
+++ b/test/support/deployment.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <chrono>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <list>
@@ -40,13 +39,14 @@
     StartPlatform();
     for (const char* name : {"files-1", "files-2", "orders-1", "orders-2"}) {
       targets.emplace_back(
-          std::vector<std::string>{
-              Program("target_standin"), File("deployment.json"), "--target",
-              name, "--control", Control(targets.size()), "--fixed"},
+          std::vector<std::string>{ProgramPath("target_standin"),
+                                   File("deployment.json"), "--target", name,
+                                   "--control", Control(targets.size()),
+                                   "--fixed"},
           File(std::string(name) + ".log"));
       AwaitStatus(Control(targets.size() - 1), "/counters");
     }
-    vm.emplace_back(std::vector<std::string>{Program("kingcupshed"), "run",
+    vm.emplace_back(std::vector<std::string>{ProgramPath("kingcupshed"), "run",
                                              "--settings", File("vm.json")},
                     File("vm.log"));
     AwaitStatus(vm_address(), "/readyz");
@@ -125,11 +125,6 @@
   std::list<Process> vm;
 
  private:
-  static std::string Program(const std::string& name) {
-    const char* build = std::getenv("KINGCUPSHED_BIN");
-    return std::string(build == nullptr ? "build" : build) + "/" + name;
-  }
-
   [[nodiscard]] std::string File(const std::string& name) const {
     return folder_ / name;
   }
@@ -150,12 +145,12 @@
   void StartPlatform() {
     const std::string address = prefix_ + ".4:7000";
     platform_.emplace_back(
-        std::vector<std::string>{Program("platform_standin"), address,
+        std::vector<std::string>{ProgramPath("platform_standin"), address,
                                  File("deployment.json")},
         File("platform.log"));
     AwaitStatus(address, "/targets");
     Process publish(
-        {Program("kingcupshed"), "table", "publish", File("table.csv"),
+        {ProgramPath("kingcupshed"), "table", "publish", File("table.csv"),
          "--platform", address, "--author", "test"},
         File("publish.log"));
     BOOST_REQUIRE_EQUAL(publish.Wait(), 0);
