--- a/test/support/process.h
+++ b/test/support/process.h
@@ -25,6 +25,8 @@
   /// @return Its exit status, or minus the signal that ended it.
   int Wait();
 
+  [[nodiscard]] pid_t id() const noexcept { return id_; }
+
  private:
   pid_t id_ = 0;
 };
