--- a/test/kingcupshed/http/server.cc
+++ b/test/kingcupshed/http/server.cc
@@ -65,6 +65,7 @@
     DrawFaults(rig);
     std::vector<LoadCall> calls;
     const int count = *rc::gen::inRange(1, 6);
+    calls.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
       calls.push_back(DrawCall(number++));
     }
