--- a/src/kingcupshed/daemon/peering.cc
+++ b/src/kingcupshed/daemon/peering.cc
@@ -138,7 +138,7 @@
   }
 }
 
-void Peering::Send(std::vector<Envelope> envelopes) {
+void Peering::Send(const std::vector<Envelope>& envelopes) {
   for (const Envelope& envelope : envelopes) {
     const std::string address = AddressOf(runtime_.vms.NameOf(envelope.to));
     if (address.empty()) {
--- a/src/kingcupshed/daemon/peering.h
+++ b/src/kingcupshed/daemon/peering.h
@@ -95,7 +95,7 @@
  private:
   boost::asio::awaitable<void> FollowVms();
   boost::asio::awaitable<void> RunRounds();
-  void Send(std::vector<membership::Envelope> envelopes);
+  void Send(const std::vector<membership::Envelope>& envelopes);
   void Answer(const peer::wire::Gossip& request, peer::wire::Gossip& answer);
   void Take(const peer::wire::Gossip& message);
   void TakeTable(const peer::wire::Gossip& message);
--- a/src/kingcupshed/peer/fwd.h
+++ b/src/kingcupshed/peer/fwd.h
@@ -11,6 +11,5 @@
 }  // namespace wire
 
 class Client;
-class Server;
 
 }  // namespace kingcupshed::peer
--- a/test/kingcupshed/membership/membership.cc
+++ b/test/kingcupshed/membership/membership.cc
@@ -146,8 +146,8 @@
     return leaving;
   }
 
-  void Send(std::vector<Envelope> envelopes, bool is_request = true) {
-    for (Envelope& envelope : envelopes) {
+  void Send(const std::vector<Envelope>& envelopes, bool is_request = true) {
+    for (const Envelope& envelope : envelopes) {
       ++messages_;
       if (random_() % 100 >= faults_.loss_percent) {
         in_flight_.push_back(
