--- a/standin/slopes_main.cc
+++ b/standin/slopes_main.cc
@@ -22,7 +22,24 @@
 
 namespace {
 
-using namespace kingcupshed;
+namespace dispatch = kingcupshed::dispatch;
+namespace membership = kingcupshed::membership;
+namespace table = kingcupshed::table;
+namespace target = kingcupshed::target;
+namespace timeline = kingcupshed::timeline;
+using kingcupshed::CallId;
+using kingcupshed::Duration;
+using kingcupshed::kRankCount;
+using kingcupshed::LoadReport;
+using kingcupshed::LogRecord;
+using kingcupshed::Names;
+using kingcupshed::Rank;
+using kingcupshed::ServiceId;
+using kingcupshed::TableVersion;
+using kingcupshed::TargetId;
+using kingcupshed::TimePoint;
+using kingcupshed::VmId;
+using kingcupshed::WallTime;
 namespace json = boost::json;
 
 constexpr std::size_t kCalls = 5'000;
