--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -20,6 +20,7 @@
 #include "kingcupshed/daemon/table_follower.h"
 #include "kingcupshed/dispatch/dispatcher.h"
 #include "kingcupshed/http/dispatch_driver.h"
+#include "kingcupshed/http/probe.h"
 #include "kingcupshed/http/server.h"
 #include "kingcupshed/log/log.h"
 #include "kingcupshed/platform/client.h"
@@ -78,6 +79,7 @@
   PeeringHooks MakePeeringHooks();
   std::optional<http::PageAnswer> FindPage(std::string_view path);
   asio::awaitable<void> FollowTargets();
+  asio::awaitable<void> ProbeTarget(TargetId target);
   asio::awaitable<void> StopGracefully();
   void OpenEventFile();
   void PutInForce(const table::Table& table);
@@ -115,7 +117,11 @@
           &key_gate_,
           runtime_.settings.vm,
           HostOf(runtime_.settings.listen),
-          [this](TargetId target) { return connection_limits_[target]; }};
+          [this](TargetId target) { return connection_limits_[target]; },
+          [this] {
+            return peering_.membership().IsCurrent(
+                std::chrono::steady_clock::now());
+          }};
 }
 
 TableFollowerHooks Daemon::MakeTableHooks() {
@@ -233,6 +239,14 @@
   }
 }
 
+asio::awaitable<void> Daemon::ProbeTarget(TargetId target) {
+  std::string source = HostOf(runtime_.settings.listen);
+  const auto load = co_await http::Probe(addresses_[target], std::move(source));
+  if (load) {
+    driver_.Post(dispatch::LoadReported{target, *load});
+  }
+}
+
 asio::awaitable<void> Daemon::StopGracefully() {
   co_await stop_driver_.Run([this] {
     runtime_.ready = false;
@@ -273,6 +287,9 @@
                    " could not be bound.");
     return 1;
   }
+  driver_.SetProbe([this](TargetId target) {
+    asio::co_spawn(runtime_.io, ProbeTarget(target), asio::detached);
+  });
   table_follower_.Start();
   key_gate_.Start();
   asio::co_spawn(runtime_.io, FollowTargets(), asio::detached);
--- a/src/kingcupshed/http/dispatch_driver.cc
+++ b/src/kingcupshed/http/dispatch_driver.cc
@@ -1,5 +1,6 @@
 #include "kingcupshed/http/dispatch_driver.h"
 
+#include <utility>
 #include <variant>
 
 namespace kingcupshed::http {
@@ -16,6 +17,10 @@
                                dispatch::Dispatcher& dispatcher)
     : dispatcher_(dispatcher), timer_(io) {}
 
+void DispatchDriver::SetProbe(std::function<void(TargetId)> probe) {
+  probe_ = std::move(probe);
+}
+
 CallId DispatchDriver::Open(ActionReceiver& receiver) {
   const CallId call{next_call_++};
   receivers_.emplace(call, &receiver);
@@ -33,6 +38,12 @@
 
 void DispatchDriver::Deliver(const std::vector<dispatch::Action>& actions) {
   for (const dispatch::Action& action : actions) {
+    if (const auto* probe = std::get_if<dispatch::ProbeTarget>(&action)) {
+      if (probe_) {
+        probe_(probe->target);
+      }
+      continue;
+    }
     std::visit(
         [&](const auto& typed) {
           if constexpr (requires { typed.call; }) {
--- a/src/kingcupshed/http/dispatch_driver.h
+++ b/src/kingcupshed/http/dispatch_driver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -23,6 +24,9 @@
  public:
   DispatchDriver(boost::asio::io_context& io, dispatch::Dispatcher& dispatcher);
 
+  /// Sets a function that asks a target for its load.
+  void SetProbe(std::function<void(TargetId)> probe);
+
   /// Opens a call; its actions go to `receiver` until `Close`.
   [[nodiscard]] CallId Open(ActionReceiver& receiver);
 
@@ -44,6 +48,7 @@
   dispatch::Dispatcher& dispatcher_;
   boost::asio::steady_timer timer_;
   std::map<CallId, ActionReceiver*> receivers_;
+  std::function<void(TargetId)> probe_;
   std::uint64_t next_call_ = 1;
 };
 
--- a/src/kingcupshed/http/fetch.cc
+++ b/src/kingcupshed/http/fetch.cc
@@ -90,6 +90,7 @@
   }
   result.status = FetchStatus::kAnswered;
   result.code = parser.get().result_int();
+  result.etag = std::string(parser.get()[beast::http::field::etag]);
   result.body = std::move(parser.get().body());
   co_return result;
 }
--- a/src/kingcupshed/http/fetch.h
+++ b/src/kingcupshed/http/fetch.h
@@ -37,6 +37,8 @@
 struct FetchResult {
   FetchStatus status = FetchStatus::kNotSent;
   unsigned code = 0;
+  /// Entity tag of the answer, empty when it has none.
+  std::string etag;
   std::string body;
 };
 
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -230,7 +230,8 @@
                               server_.context.target_name(attempt.target()),
                               service_name_, "");
                         }
-                      }};
+                      },
+                      server_.context.is_current};
   return std::make_unique<Race>(caller_.get_executor(), std::move(context),
                                 outgoing_);
 }
--- a/src/kingcupshed/http/internal/race.cc
+++ b/src/kingcupshed/http/internal/race.cc
@@ -48,6 +48,19 @@
   co_return event;
 }
 
+asio::awaitable<void> Race::AwaitCurrent() {
+  constexpr Duration kCheckInterval = std::chrono::milliseconds(5);
+  if (!context_.is_current) {
+    co_return;
+  }
+  asio::steady_timer timer(wake_.get_executor());
+  while (!context_.is_current() &&
+         std::chrono::steady_clock::now() < request_.deadline) {
+    timer.expires_after(kCheckInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
 asio::awaitable<Attempt*> Race::Run(dispatch::CallArrived arrived) {
   call_ = context_.driver.Open(*this);
   open_ = true;
@@ -58,6 +71,7 @@
     --running_;
     Push(error ? RaceEvent(DeadlineCancelled{}) : RaceEvent(DeadlinePassed{}));
   });
+  co_await AwaitCurrent();
   context_.driver.Post(arrived);
   while (machine_.waiting()) {
     const RaceEvent event = co_await Next();
--- a/src/kingcupshed/http/internal/race.h
+++ b/src/kingcupshed/http/internal/race.h
@@ -32,6 +32,8 @@
   TargetPool& pool;
   /// Tells what became of an attempt.
   std::function<void(const Attempt&, dispatch::AttemptResult)> on_ended;
+  /// Returns whether new work may start; always when absent.
+  std::function<bool()> is_current;
 };
 
 /// Sends one call to targets as the dispatcher asks, until one answers.
@@ -74,6 +76,8 @@
                                  DeadlineCancelled,
                                  CallerLeft>;
 
+  /// Waits while the VM does not know which targets are leaving.
+  asio::awaitable<void> AwaitCurrent();
   asio::awaitable<RaceEvent> Next();
   void Push(const RaceEvent& event);
   void Start(const dispatch::StartAttempt& start);
--- a/src/kingcupshed/http/server.h
+++ b/src/kingcupshed/http/server.h
@@ -48,6 +48,9 @@
   std::string source_address{};
   /// Returns how many connections this VM may hold to a target.
   std::function<std::size_t(TargetId)> connection_limit{};
+  /// Returns whether the VM knows enough of leaving targets to start work; it
+  /// does not just after a pause. Always when absent.
+  std::function<bool()> is_current{};
 };
 
 /// Serves callers over HTTP/1.1 and passes their calls to targets.
--- a/src/kingcupshed/platform/client.cc
+++ b/src/kingcupshed/platform/client.cc
@@ -119,6 +119,39 @@
       [] { return std::optional<std::vector<Entry>>(); });
 }
 
+http::FetchRequest ListRequest(const std::string& address,
+                               const std::string& source,
+                               const std::string& path,
+                               const std::string& etag) {
+  http::FetchRequest request;
+  request.address = address;
+  request.source = source;
+  request.path = path;
+  if (!etag.empty()) {
+    request.headers["If-None-Match"] = etag;
+  }
+  return request;
+}
+
+/// Returns the list that an answer stands for and keeps it for the next one.
+template <typename Entry>
+std::optional<std::vector<Entry>> TakeList(
+    const http::FetchResult& answer,
+    Entry (*read_entry)(const json::object&),
+    CachedList<Entry>& cache) {
+  constexpr unsigned kNotModified = 304;
+  if (answer.status == http::FetchStatus::kAnswered &&
+      answer.code == kNotModified && !cache.etag.empty()) {
+    return cache.entries;
+  }
+  auto entries = ListOrNothing<Entry>(answer, read_entry);
+  if (entries) {
+    cache.etag = answer.etag;
+    cache.entries = *entries;
+  }
+  return entries;
+}
+
 /// Returns a required offset.
 leaf::result<LogOffset> OffsetOf(const json::object& object,
                                  json::string_view key) {
@@ -229,21 +262,17 @@
 
 asio::awaitable<std::optional<std::vector<TargetEntry>>> Client::ListTargets()
     const {
-  http::FetchRequest request;
-  request.address = address_;
-  request.source = source_;
-  request.path = "/targets";
+  http::FetchRequest request =
+      ListRequest(address_, source_, "/targets", targets_.etag);
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  co_return ListOrNothing<TargetEntry>(answer, &ReadTarget);
+  co_return TakeList<TargetEntry>(answer, &ReadTarget, targets_);
 }
 
 asio::awaitable<std::optional<std::vector<VmEntry>>> Client::ListVms() const {
-  http::FetchRequest request;
-  request.address = address_;
-  request.source = source_;
-  request.path = "/vms";
+  http::FetchRequest request =
+      ListRequest(address_, source_, "/vms", vms_.etag);
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  co_return ListOrNothing<VmEntry>(answer, &ReadVm);
+  co_return TakeList<VmEntry>(answer, &ReadVm, vms_);
 }
 
 }  // namespace kingcupshed::platform
--- a/src/kingcupshed/platform/client.h
+++ b/src/kingcupshed/platform/client.h
@@ -61,7 +61,18 @@
   bool leaving = false;
 };
 
+/// The last whole answer to a request for a list.
+template <typename Entry>
+struct CachedList {
+  /// Entity tag under which the platform knows it.
+  std::string etag;
+  std::vector<Entry> entries;
+};
+
 /// Talks to the platform's log and lists.
+///
+/// A list that did not change since the last request is not sent again: the
+/// platform answers 304 to its entity tag.
 class Client {
  public:
   /// @param address Host and port of the platform.
@@ -92,6 +103,8 @@
  private:
   std::string address_;
   std::string source_;
+  mutable CachedList<TargetEntry> targets_;
+  mutable CachedList<VmEntry> vms_;
 };
 
 }  // namespace kingcupshed::platform
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <functional>
 #include <stdexcept>
 #include <utility>
 #include <vector>
@@ -29,6 +30,21 @@
           false};
 }
 
+/// Answers a list, or 304 when the caller has it already.
+Response ListResponse(const Request& request, const json::value& list) {
+  constexpr unsigned kNotModified = 304;
+  Response response = JsonResponse(list);
+  const std::string etag =
+      '"' + std::to_string(std::hash<std::string>{}(response.body)) + '"';
+  const auto known = request.headers.find("if-none-match");
+  if (known != request.headers.end() && known->second == etag) {
+    response.code = kNotModified;
+    response.body.clear();
+  }
+  response.headers["etag"] = etag;
+  return response;
+}
+
 Response ErrorResponse(unsigned code, std::string cause) {
   return {code, {}, std::move(cause) + "\n", false};
 }
@@ -206,7 +222,7 @@
   if (request.path == "/targets" || request.path == "/vms") {
     ++counters_.list_reads;
     LaggingList& list = request.path == "/targets" ? targets_ : vms_;
-    co_return JsonResponse(list.Show(Clock::now()));
+    co_return ListResponse(request, list.Show(Clock::now()));
   }
   if (request.path.rfind(kLogPrefix, 0) != 0) {
     co_return ErrorResponse(404, "no such page");
--- a/test/kingcupshed/http/server.cc
+++ b/test/kingcupshed/http/server.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -105,4 +106,32 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Promise5)
+
+BOOST_AUTO_TEST_CASE(NoWorkStartsWhileTheVmMayHaveMissedDrainMarks) {
+  constexpr std::size_t kChecks = 3;
+  support::ServerRig rig;
+  rig.current = false;
+  LoadCall call;
+  call.method = "GET";
+  call.caller = "early";
+  call.path = "/lookup/case";
+  call.timeout = std::chrono::seconds(10);
+  LoadAnswer answer;
+  bool answered = false;
+  rig.Send(call, [&](LoadAnswer received) {
+    answer = std::move(received);
+    answered = true;
+  });
+  rig.RunUntil([&] { return answered || rig.current_checks >= kChecks; });
+  BOOST_TEST(!answered);
+  BOOST_TEST(rig.Runs("early") == 0U);
+  rig.current = true;
+  rig.RunUntil([&] { return answered; });
+  BOOST_TEST((answer.outcome == CallOutcome::kAnswered));
+  BOOST_TEST(rig.Runs("early") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace kingcupshed::http
--- a/test/support/server_rig.h
+++ b/test/support/server_rig.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <optional>
 #include <stdexcept>
@@ -58,6 +59,10 @@
         [](std::string_view) { return std::optional<http::PageAnswer>(); },
         key_gate,
         "vm"};
+    context.is_current = [this] {
+      ++current_checks;
+      return current;
+    };
     server_.emplace(io_, std::move(context));
     address_ = prefix_ + ".1:8080";
     if (!server_->Listen(address_)) {
@@ -78,6 +83,16 @@
   ServerRig(const ServerRig&) = delete;
   ServerRig& operator=(const ServerRig&) = delete;
 
+  /// Sends a call and goes on; `done` gets its answer.
+  void Send(const standin::LoadCall& call,
+            std::function<void(standin::LoadAnswer)> done) {
+    boost::asio::co_spawn(io_, client_->Send(call),
+                          [done = std::move(done)](const std::exception_ptr&,
+                                                   standin::LoadAnswer answer) {
+                            done(std::move(answer));
+                          });
+  }
+
   /// Sends calls side by side and waits for the end of each.
   std::vector<standin::LoadAnswer> SendAll(
       const std::vector<standin::LoadCall>& calls) {
@@ -119,6 +134,11 @@
   [[nodiscard]] boost::asio::io_context& io() { return io_; }
   [[nodiscard]] const std::string& address() const { return address_; }
 
+  /// Whether the VM knows which targets are leaving.
+  bool current = true;
+  /// How often the server asked for it.
+  std::size_t current_checks = 0;
+
  private:
   /// Each rig has addresses of its own, so that closed connections of one
   /// can't take the port numbers of the next.
