Let the table's system test wait on log writes, not on a sleep

Cause: VMs announced no readiness, so the test asked every 20 ms. A VM now logs that it is ready, and the test checks again when a process writes to its log. The bounds are the same; the question whether the platform answers went, as publish waits for it.

--- a/src/kingcupshed/daemon/daemon.cc
+++ b/src/kingcupshed/daemon/daemon.cc
@@ -127,7 +127,10 @@
 TableFollowerHooks Daemon::MakeTableHooks() {
   TableFollowerHooks hooks;
   hooks.in_force = [this](const table::Table& table) { PutInForce(table); };
-  hooks.caught_up = [this] { runtime_.ready = true; };
+  hooks.caught_up = [this] {
+    runtime_.ready = true;
+    log::Write(log::Severity::kInfo, "daemon", "Ready to serve callers.");
+  };
   return hooks;
 }
 
--- a/test/kingcupshed/system/table_publication.cc
+++ b/test/kingcupshed/system/table_publication.cc
@@ -1,12 +1,14 @@
+#include <poll.h>
 #include <signal.h>
+#include <sys/inotify.h>
 #include <unistd.h>
 
+#include <array>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
@@ -44,19 +46,6 @@
   return answer.get();
 }
 
-/// Polls a condition of another process, which sends no event of its own.
-template <typename Condition>
-bool WaitUntil(Condition condition, Duration limit) {
-  const auto end = std::chrono::steady_clock::now() + limit;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() >= end) {
-      return false;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  return true;
-}
-
 /// The platform stand-in and three VMs without targets.
 class Fleet {
  public:
@@ -65,6 +54,8 @@
                 ("kingcupshed-test-" + std::to_string(getpid()))),
         prefix_("127." + std::to_string(1 + getpid() % 250)) {
     std::filesystem::create_directories(folder_);
+    changes_ = inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
+    BOOST_REQUIRE(inotify_add_watch(changes_, folder_.c_str(), IN_MODIFY) >= 0);
     WriteDeployment();
     platform_ = std::make_unique<support::Process>(
         std::vector<std::string>{support::ProgramPath("platform_standin"),
@@ -76,6 +67,7 @@
   ~Fleet() {
     vms_.clear();
     platform_.reset();
+    close(changes_);
     std::filesystem::remove_all(folder_);
   }
 
@@ -88,6 +80,25 @@
         File("vm.log"));
   }
 
+  /// Checks a condition again whenever a process has written to its log.
+  template <typename Condition>
+  [[nodiscard]] bool WaitUntil(Condition condition, Duration limit) const {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+          end - std::chrono::steady_clock::now());
+      pollfd change{changes_, POLLIN, 0};
+      if (left.count() <= 0 ||
+          poll(&change, 1, static_cast<int>(left.count())) <= 0) {
+        return condition();
+      }
+      std::array<char, 4096> ignored{};
+      while (read(changes_, ignored.data(), ignored.size()) > 0) {
+      }
+    }
+    return true;
+  }
+
   void Signal(int index, int signal) const { vms_[index]->Signal(signal); }
 
   /// Publishes the example table and returns the exit status.
@@ -118,10 +129,6 @@
     return Send(AddressOf(index), "/readyz").code == 200U;
   }
 
-  [[nodiscard]] bool PlatformAnswers() const {
-    return Send(platform_address(), "/control").code == 200U;
-  }
-
  private:
   [[nodiscard]] std::string platform_address() const {
     return prefix_ + ".0.1:7000";
@@ -166,6 +173,7 @@
 
   std::filesystem::path folder_;
   std::string prefix_;
+  int changes_ = -1;
   std::unique_ptr<support::Process> platform_;
   std::vector<std::unique_ptr<support::Process>> vms_;
 };
@@ -176,7 +184,6 @@
 
 BOOST_AUTO_TEST_CASE(VersionSurvivesOutageRestartAndPause) {
   Fleet fleet;
-  BOOST_REQUIRE(WaitUntil([&] { return fleet.PlatformAnswers(); }, seconds(5)));
   BOOST_REQUIRE(fleet.Publish() == 0);
   for (int i = 0; i < kVms; ++i) {
     fleet.StartVm(i);
@@ -189,22 +196,23 @@
     }
     return true;
   };
-  BOOST_REQUIRE(WaitUntil([&] { return all_have(1); }, seconds(10)));
+  BOOST_REQUIRE(fleet.WaitUntil([&] { return all_have(1); }, seconds(10)));
 
   // An outage begins as soon as the second version is accepted; one VM is
   // paused meanwhile and another one starts anew.
   fleet.Signal(2, SIGSTOP);
   BOOST_REQUIRE(fleet.Publish() == 0);
   fleet.Control(R"({"outage": "hang"})");
-  BOOST_TEST(WaitUntil([&] { return fleet.VersionOf(1) == 2; }, kBound));
+  BOOST_TEST(fleet.WaitUntil([&] { return fleet.VersionOf(1) == 2; }, kBound));
   fleet.StartVm(0);
-  BOOST_TEST(WaitUntil([&] { return fleet.Ready(0); }, kBound + seconds(3)));
+  BOOST_TEST(
+      fleet.WaitUntil([&] { return fleet.Ready(0); }, kBound + seconds(3)));
   BOOST_TEST(fleet.VersionOf(0) == 2);
   fleet.Signal(2, SIGCONT);
-  BOOST_TEST(WaitUntil([&] { return all_have(2); }, kBound));
+  BOOST_TEST(fleet.WaitUntil([&] { return all_have(2); }, kBound));
   fleet.Control(R"({"outage": "none"})");
   BOOST_REQUIRE(fleet.Publish() == 0);
-  BOOST_TEST(WaitUntil([&] { return all_have(3); }, kBound));
+  BOOST_TEST(fleet.WaitUntil([&] { return all_have(3); }, kBound));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
