--- /dev/null
+++ b/src/kingcupshed/catalog/fwd.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace kingcupshed::catalog {
+
+struct TargetReport;
+class TargetCatalog;
+
+}  // namespace kingcupshed::catalog
--- a/src/kingcupshed/cli/main.cc
+++ b/src/kingcupshed/cli/main.cc
@@ -26,7 +26,9 @@
 
   std::string settings_file;
   CLI::App* run = app.add_subcommand("run", "Run one balancing VM.");
-  run->add_option("--settings", settings_file, "JSON settings")->required();
+  run->add_option("--settings", settings_file, "JSON settings")
+      ->envname("KINGCUPSHED_SETTINGS")
+      ->required();
   run->footer("Example:\n  kingcupshed run --settings vm.json");
   run->callback([&] {
     command = [&] { return kingcupshed::cli::RunDaemon(settings_file); };
--- a/src/kingcupshed/cli/run_command.cc
+++ b/src/kingcupshed/cli/run_command.cc
@@ -4,6 +4,7 @@
 #include "kingcupshed/cli/commands.h"
 #include "kingcupshed/cli/files.h"
 #include "kingcupshed/daemon/daemon.h"
+#include "kingcupshed/daemon/routed_vm.h"
 #include "kingcupshed/log/log.h"
 #include "kingcupshed/settings/settings.h"
 
@@ -37,7 +38,9 @@
   }
   log::Initialize(
       log::ParseSeverity(settings->log_level).value_or(log::Severity::kInfo));
-  return daemon::Run(*settings) == 0 ? ExitStatus::kFine : ExitStatus::kFailed;
+  const int status = settings->store.empty() ? daemon::Run(*settings)
+                                             : daemon::RunRouted(*settings);
+  return status == 0 ? ExitStatus::kFine : ExitStatus::kFailed;
 }
 
 ExitStatus CheckSettings(const std::string& settings_file) {
--- a/src/kingcupshed/core/load_report.h
+++ b/src/kingcupshed/core/load_report.h
@@ -12,6 +12,8 @@
   std::uint32_t queued = 0;
   /// Slots that the target says it has; zero when not said.
   std::uint32_t slots = 0;
+  /// How long work takes on the target's machine now, relative to usual.
+  double slowdown = 1.0;
 };
 
 }  // namespace kingcupshed
--- /dev/null
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -0,0 +1,314 @@
+#include "kingcupshed/daemon/routed_vm.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "kingcupshed/daemon/runtime.h"
+#include "kingcupshed/daemon/stop_driver.h"
+#include "kingcupshed/daemon/store_follower.h"
+#include "kingcupshed/http/dispatch_driver.h"
+#include "kingcupshed/http/server.h"
+#include "kingcupshed/log/log.h"
+#include "kingcupshed/placement/placer.h"
+#include "kingcupshed/platform/dialect.h"
+#include "kingcupshed/platform/store.h"
+#include "kingcupshed/route/route_index.h"
+
+namespace kingcupshed::daemon {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view kPart = "vm";
+/// Answers up to this size are read whole, so that a target that breaks off can
+/// be replaced.
+constexpr std::size_t kHoldBytes = 1024UL * 1024;
+/// A round trip between regions with two packets lost would take longer, but
+/// then another target is the better choice.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
+/// Time after which callers that meet a VM without routes come back.
+constexpr Duration kRetryWithoutRoutes = std::chrono::milliseconds(500);
+/// A caller that has lost less than this of its time has not been refused
+/// before.
+constexpr Duration kFirstTrySlack = std::chrono::milliseconds(5);
+constexpr std::size_t kLeastConnections = 4;
+
+placement::Config PlacementConfig(const settings::Settings& settings) {
+  placement::Config config;
+  config.seed = std::hash<std::string>{}(settings.vm);
+  config.retries = {settings.retry_ratio, settings.retry_window,
+                    settings.retry_slack};
+  return config;
+}
+
+/// One balancing VM on the platform: its parts and what connects them.
+class RoutedVm {
+ public:
+  explicit RoutedVm(const settings::Settings& settings)
+      : runtime_(settings),
+        store_(settings.store),
+        placer_(PlacementConfig(settings)),
+        driver_(runtime_.io, placer_),
+        follower_(runtime_.io, store_, settings.vm, MakeStoreHooks()),
+        server_(runtime_.io, MakeServerContext()),
+        pages_(runtime_.io, MakePagesContext()),
+        stop_driver_(runtime_.io, server_, settings.stop_grace),
+        random_(std::hash<std::string>{}(settings.vm) + 1) {}
+
+  int Run();
+
+ private:
+  StoreHooks MakeStoreHooks();
+  http::ServerContext MakeServerContext();
+  http::ServerContext MakePagesContext();
+  std::optional<http::PageAnswer> FindPage(std::string_view path);
+  std::variant<http::RoutedCall, http::Refusal> FindRoute(
+      const http::RouteQuery& query);
+  void PutInForce(route::RouteTable table);
+  void RenewTargets();
+  void Probe(TargetId target);
+  asio::awaitable<void> StopGracefully();
+  [[nodiscard]] routing::Distance DistanceOf(const std::string& zone) const;
+  [[nodiscard]] http::SessionLimits Limits() const;
+  [[nodiscard]] std::size_t ConnectionLimit(TargetId target) const;
+  [[nodiscard]] bool servable() const;
+
+  Runtime runtime_;
+  platform::Store store_;
+  placement::Placer placer_;
+  http::DispatchDriver driver_;
+  StoreFollower follower_;
+  std::optional<route::RouteIndex> routes_;
+  std::map<TargetId, catalog::TargetReport> targets_;
+  /// Longest time that callers of a route brought, by its name: the time of
+  /// their first tries.
+  std::map<std::string, Duration> first_deadlines_;
+  std::size_t vms_ = 1;
+  http::Server server_;
+  http::Server pages_;
+  StopDriver stop_driver_;
+  Random random_;
+};
+
+StoreHooks RoutedVm::MakeStoreHooks() {
+  return {[this](route::RouteTable table) { PutInForce(std::move(table)); },
+          [this] { RenewTargets(); },
+          [this](std::size_t count) {
+            vms_ = std::max<std::size_t>(1, count);
+            placer_.SetFleetSize(vms_);
+          }};
+}
+
+http::ServerContext RoutedVm::MakeServerContext() {
+  http::ServerContext context{
+      driver_,
+      runtime_.recorder,
+      runtime_.services,
+      [](ServiceId, Rank) -> const table::Row* { return nullptr; },
+      [this](TargetId target) { return targets_[target].address; },
+      [this](TargetId target) { return runtime_.targets.NameOf(target); },
+      [](TargetId) {},
+      [](std::string_view) -> std::optional<http::PageAnswer> {
+        return std::nullopt;
+      }};
+  context.vm = runtime_.settings.vm;
+  context.connection_limit = [this](TargetId target) {
+    return ConnectionLimit(target);
+  };
+  context.dialect = &platform::PlatformDialect();
+  context.find_route = [this](const http::RouteQuery& query) {
+    return FindRoute(query);
+  };
+  context.session_limits = [this] { return Limits(); };
+  context.hold_bytes = kHoldBytes;
+  context.connect_timeout = kConnectTimeout;
+  return context;
+}
+
+http::ServerContext RoutedVm::MakePagesContext() {
+  http::ServerContext context = MakeServerContext();
+  context.find_page = [this](std::string_view path) { return FindPage(path); };
+  context.find_route = [](const http::RouteQuery&) {
+    return http::RefusalFor(dispatch::RefuseReason::kUnknownService,
+                            http::Outcome::kNotRun, Duration::zero());
+  };
+  return context;
+}
+
+std::optional<http::PageAnswer> RoutedVm::FindPage(std::string_view path) {
+  if (path == "/healthz") {
+    return http::PageAnswer{200, "text/plain", "ok\n"};
+  }
+  if (path == "/readyz") {
+    return stop_driver_.Ready(servable())
+               ? http::PageAnswer{200, "text/plain", "ready\n"}
+               : http::PageAnswer{503, "text/plain", "not ready\n"};
+  }
+  return std::nullopt;
+}
+
+bool RoutedVm::servable() const {
+  return routes_.has_value() && follower_.knows_targets();
+}
+
+std::variant<http::RoutedCall, http::Refusal> RoutedVm::FindRoute(
+    const http::RouteQuery& query) {
+  if (!routes_) {
+    return http::RefusalFor(dispatch::RefuseReason::kNoTarget,
+                            http::Outcome::kNotRun, kRetryWithoutRoutes);
+  }
+  const route::Route* route = routes_->Find(query.host, query.path);
+  if (route == nullptr) {
+    return http::RefusalFor(dispatch::RefuseReason::kUnknownService,
+                            http::Outcome::kNotRun, Duration::zero());
+  }
+  http::RoutedCall call;
+  call.service_name = route::DrawPart(*route, random_).service;
+  call.service = runtime_.services.Intern(call.service_name);
+  call.rank = route->rank;
+  call.semantics = route->semantics;
+  call.bulk = route->bulk;
+  call.timeout = route->timeout;
+  call.objective = route->objective;
+  call.max_attempts = route->max_attempts;
+  if (query.deadline) {
+    Duration& first = first_deadlines_[route->name];
+    first = std::max(first, *query.deadline);
+    const Duration age = first - *query.deadline;
+    call.age = age > kFirstTrySlack ? age : Duration::zero();
+  }
+  return call;
+}
+
+void RoutedVm::PutInForce(route::RouteTable table) {
+  const std::string version = std::to_string(ToIndex(table.version));
+  routes_.emplace(std::move(table));
+  for (const route::ServiceRow& row : routes_->table().services) {
+    placer_.SetFirstRank(runtime_.services.Intern(row.name),
+                         routes_->FirstRank(row.name));
+  }
+  log::Write(log::Severity::kInfo, kPart,
+             "Routes of version " + version + " are in force.");
+}
+
+routing::Distance RoutedVm::DistanceOf(const std::string& zone) const {
+  const settings::Settings& settings = runtime_.settings;
+  if (zone == settings.zone) {
+    return routing::Distance::kZone;
+  }
+  const auto own = settings.zones.find(settings.zone);
+  const auto other = settings.zones.find(zone);
+  const bool near = own != settings.zones.end() &&
+                    other != settings.zones.end() &&
+                    own->second == other->second;
+  return near ? routing::Distance::kRegion : routing::Distance::kRemote;
+}
+
+void RoutedVm::RenewTargets() {
+  std::vector<placement::TargetFacts> facts;
+  for (const auto& [name, known] : follower_.targets().targets()) {
+    const TargetId id = runtime_.targets.Intern(name);
+    targets_[id] = known.report;
+    if (known.leaving) {
+      continue;
+    }
+    placement::TargetFacts fact;
+    fact.id = id;
+    fact.service = runtime_.services.Intern(known.report.service);
+    fact.distance = DistanceOf(known.report.zone);
+    fact.slots = known.report.slots;
+    fact.warm_at = known.heard + known.report.warmup_left;
+    facts.push_back(fact);
+  }
+  placer_.SetTargets(facts);
+}
+
+void RoutedVm::Probe(TargetId target) {
+  const auto found = targets_.find(target);
+  const route::ServiceRow* row =
+      routes_ && found != targets_.end()
+          ? routes_->FindService(found->second.service)
+          : nullptr;
+  if (row == nullptr) {
+    asio::post(runtime_.io, [this, target] {
+      driver_.Post(dispatch::ProbeFailed{target});
+    });
+    return;
+  }
+  server_.Probe({target, row->health_path, kProbeTimeout},
+                [this, target](const http::ProbeOutcome& outcome) {
+                  if (outcome.answered && outcome.load) {
+                    driver_.Post(dispatch::LoadReported{target, *outcome.load,
+                                                        outcome.round_trip});
+                  } else {
+                    driver_.Post(dispatch::ProbeFailed{target});
+                  }
+                });
+}
+
+http::SessionLimits RoutedVm::Limits() const {
+  http::SessionLimits limits;
+  if (!routes_) {
+    return limits;
+  }
+  const route::CallerLimits& given = routes_->table().limits;
+  limits.header_bytes = static_cast<std::uint32_t>(given.header_bytes);
+  limits.body_bytes = given.body_bytes;
+  limits.header_timeout = given.header_timeout;
+  limits.idle_timeout = given.idle_timeout;
+  return limits;
+}
+
+std::size_t RoutedVm::ConnectionLimit(TargetId target) const {
+  const auto found = targets_.find(target);
+  const route::ServiceRow* row =
+      routes_ && found != targets_.end()
+          ? routes_->FindService(found->second.service)
+          : nullptr;
+  const std::size_t whole = row == nullptr ? 0 : row->max_connections;
+  return std::max(kLeastConnections, whole / vms_);
+}
+
+asio::awaitable<void> RoutedVm::StopGracefully() {
+  co_await stop_driver_.Run([] {});
+  runtime_.io.stop();
+}
+
+int RoutedVm::Run() {
+  const settings::Settings& settings = runtime_.settings;
+  for (auto& [server, address] :
+       {std::pair<http::Server*, std::string>{&server_, settings.listen},
+        std::pair<http::Server*, std::string>{&pages_,
+                                              settings.pages_listen}}) {
+    if (!address.empty() && !server->Listen(address)) {
+      log::Write(log::Severity::kError, kPart,
+                 "The address " + address + " could not be bound.");
+      return 1;
+    }
+  }
+  driver_.SetProbe([this](TargetId target) { Probe(target); });
+  follower_.Start();
+  asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
+  log::Write(log::Severity::kInfo, kPart,
+             "VM " + settings.vm + " serves callers at " + settings.listen +
+                 ".");
+  runtime_.io.run();
+  return 0;
+}
+
+}  // namespace
+
+int RunRouted(const settings::Settings& settings) {
+  RoutedVm vm(settings);
+  return vm.Run();
+}
+
+}  // namespace kingcupshed::daemon
--- /dev/null
+++ b/src/kingcupshed/daemon/routed_vm.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "kingcupshed/settings/settings.h"
+
+namespace kingcupshed::daemon {
+
+/// Runs one balancing VM that takes routes and targets from the platform's
+/// store, until it is told to stop.
+/// @return Exit status: 0 after a graceful stop, 1 when it could not start.
+[[nodiscard]] int RunRouted(const settings::Settings& settings);
+
+}  // namespace kingcupshed::daemon
--- a/src/kingcupshed/dispatch/counters.h
+++ b/src/kingcupshed/dispatch/counters.h
@@ -13,7 +13,7 @@
 namespace kingcupshed::dispatch {
 
 /// Number of refuse reasons.
-inline constexpr std::size_t kRefuseReasonCount = 7;
+inline constexpr std::size_t kRefuseReasonCount = 8;
 
 /// What happened to the calls of one row since the dispatcher started.
 struct RowCounters {
--- a/src/kingcupshed/dispatch/dispatcher.h
+++ b/src/kingcupshed/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/core/names.h"
 #include "kingcupshed/core/time.h"
+#include "kingcupshed/dispatch/core.h"
 #include "kingcupshed/dispatch/counters.h"
 #include "kingcupshed/dispatch/events.h"
 #include "kingcupshed/measure/probe_budget.h"
@@ -36,14 +37,11 @@
   Duration remote_round_trip = std::chrono::milliseconds(60);
 };
 
-/// Decides which target serves which call, and when.
-///
-/// Reads no clock and opens no socket: events with their instant go in,
-/// actions come out. The same dispatcher serves the daemon and the tests.
-class Dispatcher {
+/// The core that keeps the rows of an operators' table.
+class Dispatcher final : public Core {
  public:
   explicit Dispatcher(Config config);
-  ~Dispatcher();
+  ~Dispatcher() override;
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
@@ -60,12 +58,10 @@
   /// theirs.
   void SetRowShare(ServiceId service, Rank rank, admission::RowShare share);
 
-  /// Takes one event.
-  /// @return What to do about it, in order.
-  [[nodiscard]] std::vector<Action> Handle(const Event& event, TimePoint now);
+  [[nodiscard]] std::vector<Action> Handle(const Event& event,
+                                           TimePoint now) override;
 
-  /// Returns when to send the next `Tick`, or nothing while idle.
-  [[nodiscard]] std::optional<TimePoint> NextWake() const;
+  [[nodiscard]] std::optional<TimePoint> NextWake() const override;
 
   /// Returns what was counted so far.
   [[nodiscard]] Counters ReadCounters() const;
--- a/src/kingcupshed/dispatch/events.h
+++ b/src/kingcupshed/dispatch/events.h
@@ -21,6 +21,15 @@
   table::Semantics semantics = table::Semantics::kIdempotent;
   /// True when the whole request is held in memory and can be sent again.
   bool replayable = false;
+  /// Instant up to which an answer has its full value; none when unset.
+  TimePoint objective = TimePoint::max();
+  /// Most targets that the call may be sent to; zero for the dispatcher's own
+  /// bound.
+  std::uint32_t max_attempts = 0;
+  /// True for large answers, which are to stay near.
+  bool bulk = false;
+  /// True when the caller was refused before and has come back.
+  bool returned = false;
 };
 
 /// How an attempt ended.
@@ -35,6 +44,9 @@
   kLost,
   /// The attempt was cancelled by `CancelAttempt` or by the caller leaving.
   kCancelled,
+  /// A whole answer says that the work ran and failed; it is kept in case that
+  /// no other attempt does better.
+  kErrored,
 };
 
 /// The head of an attempt's answer came in.
@@ -63,6 +75,13 @@
 struct LoadReported {
   TargetId target{};
   LoadReport load;
+  /// Time that the probe took; zero when the report came otherwise.
+  Duration round_trip{};
+};
+
+/// A probe brought no answer of the target that it was meant for.
+struct ProbeFailed {
+  TargetId target{};
 };
 
 /// Time passed; sent when `Dispatcher::NextWake` is due.
@@ -74,6 +93,7 @@
                            AttemptEnded,
                            CallAbandoned,
                            LoadReported,
+                           ProbeFailed,
                            Tick>;
 
 /// Send the call to a target.
@@ -100,6 +120,8 @@
   kNoTarget,
   kRefusedByTargets,
   kOutcomeUnknown,
+  /// No target could answer within the objective.
+  kOverloaded,
 };
 
 /// Answer the caller with a refusal; the call is over.
--- a/src/kingcupshed/dispatch/internal/engine.cc
+++ b/src/kingcupshed/dispatch/internal/engine.cc
@@ -153,6 +153,10 @@
   }
 }
 
+void Engine::On(const ProbeFailed& /*failed*/) {
+  // The probe budget already accounts for it, and calls tell more of a target.
+}
+
 void Engine::On(const Tick& /*tick*/) {
   while (Call* call = calls_.FirstDue(now_)) {
     if (call->request.deadline <= now_) {
--- a/src/kingcupshed/dispatch/internal/engine.h
+++ b/src/kingcupshed/dispatch/internal/engine.h
@@ -44,6 +44,7 @@
   void On(const AttemptEnded& ended);
   void On(const CallAbandoned& abandoned);
   void On(const LoadReported& reported);
+  void On(const ProbeFailed& failed);
   void On(const Tick& tick);
 
   // Queues and starts.
--- a/src/kingcupshed/http/dispatch_driver.h
+++ b/src/kingcupshed/http/dispatch_driver.h
@@ -8,7 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "kingcupshed/dispatch/dispatcher.h"
+#include "kingcupshed/dispatch/core.h"
 
 namespace kingcupshed::http {
 
@@ -19,10 +19,10 @@
   virtual void Receive(const dispatch::Action& action) = 0;
 };
 
-/// Drives a dispatcher with real time and hands its actions to calls.
+/// Drives a dispatch core with real time and hands its actions to calls.
 class DispatchDriver {
  public:
-  DispatchDriver(boost::asio::io_context& io, dispatch::Dispatcher& dispatcher);
+  DispatchDriver(boost::asio::io_context& io, dispatch::Core& core);
 
   /// Sets a function that asks a target for its load.
   void SetProbe(std::function<void(TargetId)> probe);
@@ -33,7 +33,7 @@
   /// Forgets a call.
   void Close(CallId call);
 
-  /// Sends an event to the dispatcher and delivers the actions.
+  /// Sends an event to the core and delivers the actions.
   void Post(const dispatch::Event& event);
 
   /// Returns the number of open calls.
@@ -45,7 +45,7 @@
   void Deliver(const std::vector<dispatch::Action>& actions);
   void ArmTimer();
 
-  dispatch::Dispatcher& dispatcher_;
+  dispatch::Core& core_;
   boost::asio::steady_timer timer_;
   std::map<CallId, ActionReceiver*> receivers_;
   std::function<void(TargetId)> probe_;
--- a/src/kingcupshed/http/fetch.cc
+++ b/src/kingcupshed/http/fetch.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -56,6 +59,19 @@
   return !error;
 }
 
+/// Asks for keep-alive probes that notice silence within three seconds.
+void ProbeConnection(asio::ip::tcp::socket& socket) {
+  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(Idle(1), ignored);
+  socket.set_option(Interval(1), ignored);
+  socket.set_option(Count(2), ignored);
+}
+
 }  // namespace
 
 asio::awaitable<FetchResult> Fetch(FetchRequest request) {
@@ -75,6 +91,9 @@
   if (error) {
     co_return result;
   }
+  if (request.keep_alive_probes) {
+    ProbeConnection(stream.socket());
+  }
   result.status = FetchStatus::kLost;
   const auto message = ToMessage(request);
   co_await beast::http::async_write(stream, message, token);
--- a/src/kingcupshed/http/fetch.h
+++ b/src/kingcupshed/http/fetch.h
@@ -22,6 +22,9 @@
   Duration timeout = std::chrono::seconds(2);
   /// IP number to send from; empty for the system's choice.
   std::string source;
+  /// Sends TCP keep-alive probes, so that a connection that went silent during
+  /// a long wait is noticed within seconds.
+  bool keep_alive_probes = false;
 };
 
 /// How a fetch ended.
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -20,6 +20,11 @@
 /// Time for the answer of a target that stopped reading the request.
 constexpr Duration kEarlyAnswerWait = std::chrono::seconds(1);
 constexpr Duration kShortBodyStall = std::chrono::seconds(3);
+/// A connection that brought nothing for this long may have gone silent.
+constexpr Duration kSilence = std::chrono::milliseconds(400);
+constexpr unsigned kFirstFinalCode = 200;
+constexpr unsigned kFirstFailureCode = 300;
+constexpr unsigned kFirstErrorCode = 500;
 /// Beyond the caller's deadline; the call itself ends at the deadline.
 constexpr Duration kDeadlineSlack = std::chrono::seconds(1);
 
@@ -34,7 +39,9 @@
   Step step = co_await Exchange(careful ? Trust::kProven : Trust::kIdle);
   const bool replayable =
       request_.body == nullptr || request_.body->replayable();
-  if (!careful && replayable && !cancelled_ &&
+  // Where targets are named, a second sending is the dispatcher's to decide.
+  const bool may_resend = request_.dialect->expected_instance.empty();
+  if (may_resend && !careful && replayable && !cancelled_ &&
       (step == Step::kLate || step == Step::kLost) && lease_ &&
       lease_->reused) {
     // The old connection was closed or went silent: a new one tells.
@@ -47,11 +54,16 @@
     }
   }
   if (step == Step::kDone) {
-    if (FieldOf(response_->get(), kOutcomeHeader) == kOutcomeNotRun) {
+    if (SaysNotRun()) {
       machine_.Refused(id_);
       Finish();
       co_return AttemptResult::kRefused;
     }
+    const bool errored =
+        response_->get().result_int() >= kFirstErrorCode && response_->is_done();
+    if (errored && !careful && request_.dialect->callers_name_calls) {
+      co_return AttemptResult::kErrored;
+    }
     co_return AttemptResult::kAnswered;
   }
   lease_.Drop();
@@ -65,6 +77,11 @@
 void Attempt::Cancel() {
   cancelled_ = true;
   if (lease_) {
+    const bool silent = lease_->reused && sent_whole_ &&
+                        Now() - lease_->sent >= kSilence && !response_;
+    if (silent) {
+      pool_.Suspect(target_, lease_->sent);
+    }
     lease_->stream.close();
   } else if (opening_ != nullptr) {
     opening_->stream.close();
@@ -107,8 +124,12 @@
 asio::awaitable<bool> Attempt::Send() {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       request_.deadline - Now());
-  request_.head.set(kDeadlineHeader,
+  const Dialect& dialect = *request_.dialect;
+  request_.head.set(dialect.deadline,
                     std::to_string(std::max<std::int64_t>(left.count(), 1)));
+  if (!dialect.expected_instance.empty()) {
+    request_.head.set(dialect.expected_instance, request_.target_name(target_));
+  }
   boost::system::error_code error;
   const bool held = request_.body == nullptr || request_.body->replayable();
   const bool whole =
@@ -175,19 +196,13 @@
 
 asio::awaitable<Attempt::Step> Attempt::ReadAnswer(bool may_be_late) {
   const TimePoint limit = request_.deadline + kDeadlineSlack;
+  may_be_late = may_be_late && request_.dialect->expected_instance.empty();
   if (sent_whole_) {
     const TimePoint late = lease_->sent + pool_.LateAfter(target_);
     lease_->stream.expires_at(may_be_late ? std::min(late, limit) : limit);
   }
   for (;;) {
-    response_ = std::make_unique<ResponseParser>();
-    response_->header_limit(kMaxHeaderSize);
-    response_->body_limit(boost::none);
-    response_->skip(request_.head.method() == beast::http::verb::head);
-    boost::system::error_code error;
-    co_await beast::http::async_read_header(
-        lease_->stream, lease_->buffer, *response_,
-        asio::redirect_error(asio::use_awaitable, error));
+    const boost::system::error_code error = co_await ReadHead();
     if (error == beast::error::timeout && may_be_late && Now() < limit) {
       pool_.Suspect(target_, lease_->sent);
       co_return Step::kLate;
@@ -195,48 +210,153 @@
     if (error) {
       co_return Step::kLost;
     }
-    if (response_->get().result_int() >= 200) {
+    if (response_->get().result_int() < kFirstFinalCode) {
+      continue;
+    }
+    if (!IsStray()) {
       break;
     }
+    const bool skipped = co_await SkipStray();
+    if (!skipped) {
+      co_return Step::kLost;
+    }
   }
-  if (!IsSound() || !co_await ReadShortBody()) {
+  if (!IsSound()) {
+    co_return Step::kLost;
+  }
+  const bool held = co_await HoldBody();
+  if (!held) {
     co_return Step::kLost;
   }
   const auto& head = response_->get();
-  load_ = ParseLoad(FieldOf(head, kLoadHeader));
-  draining_ = !FieldOf(head, kDrainHeader).empty();
+  const Dialect& dialect = *request_.dialect;
+  load_ = dialect.parse_load(FieldOf(head, dialect.load));
+  draining_ = !dialect.drain.empty() && !FieldOf(head, dialect.drain).empty();
+  ReadKeepAlive();
   pool_.NoteAnswer(*lease_, Now());
   co_return Step::kDone;
 }
 
+asio::awaitable<boost::system::error_code> Attempt::ReadHead() {
+  auto parser = std::make_unique<ResponseParser>();
+  parser->header_limit(kMaxHeaderSize);
+  parser->body_limit(boost::none);
+  parser->skip(request_.head.method() == beast::http::verb::head);
+  boost::system::error_code error;
+  co_await beast::http::async_read_header(
+      lease_->stream, lease_->buffer, *parser,
+      asio::redirect_error(asio::use_awaitable, error));
+  response_ = std::move(parser);
+  co_return error;
+}
+
+/// Tells whether the answer names another call: one that was given up, or whose
+/// answer came twice.
+bool Attempt::IsStray() const {
+  const std::string_view echo =
+      FieldOf(response_->get(), request_.dialect->call);
+  return request_.dialect->callers_name_calls && !echo.empty() &&
+         echo != request_.call;
+}
+
+/// Reads past an answer to another call; the one to this call comes after it.
+asio::awaitable<bool> Attempt::SkipStray() {
+  if (response_->need_eof()) {
+    co_return false;
+  }
+  std::array<char, kChunkSize> chunk;
+  boost::system::error_code error;
+  while (!response_->is_done()) {
+    response_->get().body().data = chunk.data();
+    response_->get().body().size = chunk.size();
+    co_await beast::http::async_read_some(
+        lease_->stream, lease_->buffer, *response_,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != beast::http::error::need_buffer) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 /// Tells whether the head is the answer to this call and says how long it is.
 bool Attempt::IsSound() const {
   const auto& head = response_->get();
-  const std::string_view echo = FieldOf(head, kCallHeader);
-  if (!echo.empty() && echo != request_.call) {
+  const Dialect& dialect = *request_.dialect;
+  const std::string_view echo = FieldOf(head, dialect.call);
+  const bool named = !echo.empty() || !dialect.callers_name_calls;
+  if (!named || (!echo.empty() && echo != request_.call)) {
     return false;
   }
   const bool two_lengths =
       head.count(beast::http::field::content_length) > 1 ||
       (head.count(beast::http::field::content_length) > 0 && head.chunked());
-  return !two_lengths && (response_->is_done() || !response_->need_eof());
+  if (two_lengths) {
+    return false;
+  }
+  if (dialect.digest.empty()) {
+    return response_->is_done() || !response_->need_eof();
+  }
+  const bool success = head.result_int() < kFirstFailureCode;
+  const bool encoded = head.count(beast::http::field::content_encoding) > 0;
+  return !encoded && (!success || !FieldOf(head, dialect.digest).empty());
 }
 
-asio::awaitable<bool> Attempt::ReadShortBody() {
+/// Tells whether the target says that it did not run the work.
+bool Attempt::SaysNotRun() const {
+  const auto& head = response_->get();
+  const Dialect& dialect = *request_.dialect;
+  if (dialect.wrong_instance_code != 0 &&
+      head.result_int() == dialect.wrong_instance_code) {
+    return true;
+  }
+  const std::string_view word = FieldOf(head, dialect.not_run);
+  return dialect.not_run_value.empty() ? !word.empty()
+                                       : word == dialect.not_run_value;
+}
+
+/// Takes note of how long the target keeps the connection open.
+void Attempt::ReadKeepAlive() {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view field =
+      FieldOf(response_->get(), to_string(beast::http::field::keep_alive));
+  const std::size_t at = field.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return;
+  }
+  const std::string_view rest = field.substr(at + kTimeout.size());
+  const auto seconds = ParseNumber(rest.substr(0, rest.find_first_of(", ")));
+  if (seconds) {
+    lease_->keep_alive = std::chrono::seconds(*seconds);
+  }
+}
+
+/// Reads the body as far as it is held: whole unless it is too large.
+asio::awaitable<bool> Attempt::HoldBody() {
   const auto length = response_->content_length();
-  if (response_->is_done() || !length || *length > kMaxHeldBody) {
+  if (response_->is_done() || (length && *length > request_.hold_bytes)) {
+    co_return true;
+  }
+  if (!length && request_.dialect->digest.empty()) {
     co_return true;
   }
-  body_.resize(*length);
-  response_->get().body().data = body_.data();
-  response_->get().body().size = body_.size();
+  std::array<char, kChunkSize> chunk;
   lease_->stream.expires_after(kShortBodyStall);
-  boost::system::error_code error;
-  co_await beast::http::async_read(
-      lease_->stream, lease_->buffer, *response_,
-      asio::redirect_error(asio::use_awaitable, error));
-  bytes_ += body_.size();
-  co_return response_->is_done();
+  while (!response_->is_done() && body_.size() < request_.hold_bytes) {
+    response_->get().body().data = chunk.data();
+    response_->get().body().size = chunk.size();
+    boost::system::error_code error;
+    co_await beast::http::async_read_some(
+        lease_->stream, lease_->buffer, *response_,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error && error != beast::http::error::need_buffer) {
+      co_return false;
+    }
+    const std::size_t size = chunk.size() - response_->get().body().size;
+    body_.append(chunk.data(), size);
+    bytes_ += size;
+  }
+  co_return true;
 }
 
 void Attempt::Finish() {
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -8,6 +9,7 @@
 
 #include "kingcupshed/dispatch/events.h"
 #include "kingcupshed/http/call_machine.h"
+#include "kingcupshed/http/dialect.h"
 #include "kingcupshed/http/internal/caller_body.h"
 #include "kingcupshed/http/internal/message.h"
 #include "kingcupshed/http/internal/target_pool.h"
@@ -26,6 +28,11 @@
   std::string call;
   TimePoint deadline{};
   bool at_most_once = false;
+  const Dialect* dialect = &OwnDialect();
+  /// Name of the instance that an attempt is meant for.
+  std::function<std::string(TargetId)> target_name;
+  /// Answers up to this size are read whole before they are passed on.
+  std::size_t hold_bytes = kMaxHeldBody;
 };
 
 /// One exchange with one target, up to the head of the answer; a short body is
@@ -62,7 +69,7 @@
   [[nodiscard]] bool draining() const noexcept { return draining_; }
   /// Parser that holds the head and reads the rest of a long body.
   [[nodiscard]] ResponseParser& response() noexcept { return *response_; }
-  /// Short body that was read whole.
+  /// Start of the body that was read; all of it when the response is done.
   [[nodiscard]] const std::string& body() const noexcept { return body_; }
   /// Connection that the rest of a long body comes on.
   [[nodiscard]] TargetPool::Lease& lease() noexcept { return lease_; }
@@ -81,8 +88,13 @@
   asio::awaitable<bool> SendHeld(boost::system::error_code& error);
   asio::awaitable<bool> SendStreamed(boost::system::error_code& error);
   asio::awaitable<Step> ReadAnswer(bool may_be_late);
-  asio::awaitable<bool> ReadShortBody();
+  asio::awaitable<bool> HoldBody();
+  asio::awaitable<bool> SkipStray();
+  asio::awaitable<boost::system::error_code> ReadHead();
+  [[nodiscard]] bool IsStray() const;
   [[nodiscard]] bool IsSound() const;
+  [[nodiscard]] bool SaysNotRun() const;
+  void ReadKeepAlive();
   void NoteSent(std::size_t bytes);
 
   AttemptId id_;
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -26,6 +26,12 @@
 /// Targets that one answer may be resumed from without progress.
 constexpr int kMaxResumes = 5;
 
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+/// Part of a caller's time that is left for the answer's way back.
+constexpr Duration kWayBack = std::chrono::milliseconds(10);
+
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -84,31 +90,25 @@
   server_.Record("call_refused", outgoing_.call, "", service_name_,
                  std::string(refusal.reason) + ", " +
                      std::string(OutcomeName(refusal.outcome)));
-  co_return co_await SendRefusal(caller_, refusal, Keeps());
+  if (Routed() && refusal.outcome == Outcome::kNotRun &&
+      refusal.code >= kBadGateway) {
+    // Only this status says that the work was not run.
+    refusal.code = kServiceUnavailable;
+  }
+  if (Routed() && refusal.outcome == Outcome::kUnknown &&
+      Now() >= outgoing_.deadline) {
+    refusal.code = kGatewayTimeout;
+  }
+  co_return co_await SendRefusal(caller_, refusal, *server_.context.dialect,
+                                 Keeps());
 }
 
 asio::awaitable<bool> Call::Serve() {
-  outgoing_.call = server_.NextCallName();
-  if (const auto refusal = ReadOptions(request_.get().base(), options_)) {
+  const std::optional<Refusal> refusal =
+      Routed() ? FindRoute() : FindRow();
+  if (refusal) {
     co_return co_await Refuse(*refusal);
   }
-  const auto target = request_.get().target();
-  service_name_ = ServiceOf({target.data(), target.size()});
-  const auto service = server_.context.services.Find(service_name_);
-  const table::Row* row =
-      service ? server_.context.find_row(*service, options_.rank) : nullptr;
-  if (row == nullptr) {
-    co_return co_await Refuse(
-        RefusalFor(dispatch::RefuseReason::kUnknownService, Outcome::kNotRun,
-                   Duration::zero()));
-  }
-  service_ = *service;
-  semantics_ = row->semantics;
-  row_deadline_ = row->deadline;
-  outgoing_.at_most_once = semantics_ == table::Semantics::kAtMostOnce;
-  outgoing_.deadline =
-      Now() +
-      std::min(options_.deadline.value_or(row_deadline_), row_deadline_);
   if (!co_await Admit()) {
     co_return co_await Refuse(MakeRefusal(400, Outcome::kNotRun, "bad-body",
                                           "The body is malformed."));
@@ -132,6 +132,81 @@
   co_return keep;
 }
 
+bool Call::Routed() const {
+  return static_cast<bool>(server_.context.find_route);
+}
+
+/// Finds the row of the operators' table by service and rank.
+/// @return Why the call is refused, if it is.
+std::optional<Refusal> Call::FindRow() {
+  outgoing_.call = server_.NextCallName();
+  if (const auto refusal = ReadOptions(request_.get().base(), options_)) {
+    return refusal;
+  }
+  const auto target = request_.get().target();
+  service_name_ = ServiceOf({target.data(), target.size()});
+  const auto service = server_.context.services.Find(service_name_);
+  const table::Row* row =
+      service ? server_.context.find_row(*service, options_.rank) : nullptr;
+  if (row == nullptr) {
+    return RefusalFor(dispatch::RefuseReason::kUnknownService,
+                      Outcome::kNotRun, Duration::zero());
+  }
+  service_ = *service;
+  semantics_ = row->semantics;
+  row_deadline_ = row->deadline;
+  outgoing_.at_most_once = semantics_ == table::Semantics::kAtMostOnce;
+  outgoing_.deadline =
+      Now() +
+      std::min(options_.deadline.value_or(row_deadline_), row_deadline_);
+  return std::nullopt;
+}
+
+/// Finds the route by host and path.
+/// @return Why the call is refused, if it is.
+std::optional<Refusal> Call::FindRoute() {
+  const auto& head = request_.get();
+  const Dialect& dialect = *server_.context.dialect;
+  outgoing_.dialect = &dialect;
+  outgoing_.target_name = server_.context.target_name;
+  outgoing_.hold_bytes = server_.context.hold_bytes;
+  outgoing_.call = std::string(FieldOf(head, dialect.call));
+  RouteQuery query;
+  const std::string_view host = FieldOf(head, "Host");
+  query.host = host.substr(0, host.find(':'));
+  const std::string_view target{head.target().data(), head.target().size()};
+  query.path = target.substr(0, target.find('?'));
+  if (const auto ms = ParseNumber(FieldOf(head, dialect.deadline))) {
+    query.deadline = std::chrono::milliseconds(*ms);
+  }
+  auto found = server_.context.find_route(query);
+  if (const auto* refusal = std::get_if<Refusal>(&found)) {
+    return *refusal;
+  }
+  if (outgoing_.call.empty() || head.count(dialect.call) > 1) {
+    return MakeRefusal(400, Outcome::kNotRun, "no-id",
+                       "The request needs one id.");
+  }
+  const RoutedCall& routed = std::get<RoutedCall>(found);
+  const TimePoint now = Now();
+  service_name_ = routed.service_name;
+  service_ = routed.service;
+  semantics_ = routed.semantics;
+  row_deadline_ = routed.timeout;
+  options_.rank = routed.rank;
+  outgoing_.at_most_once = semantics_ == table::Semantics::kAtMostOnce;
+  Duration limit = routed.timeout;
+  if (query.deadline) {
+    limit = std::min(limit, *query.deadline - kWayBack);
+  }
+  outgoing_.deadline = now + limit;
+  arrival_.objective = now + routed.objective - routed.age;
+  arrival_.max_attempts = routed.max_attempts;
+  arrival_.bulk = routed.bulk;
+  arrival_.returned = routed.age > Duration::zero();
+  return std::nullopt;
+}
+
 /// Reads the start of the body, which a caller may wait to be asked for.
 asio::awaitable<bool> Call::Admit() {
   if (request_.is_done()) {
@@ -211,6 +286,9 @@
   }
   outgoing_.body = &body_;
   RemoveHopFields(outgoing_.head);
+  if (Routed()) {
+    return;
+  }
   outgoing_.head.set(kCallHeader, outgoing_.call);
   outgoing_.head.set(kDepthHeader, std::to_string(options_.depth + 1));
   const auto clock =
@@ -237,7 +315,7 @@
 }
 
 dispatch::CallArrived Call::Arrival() const {
-  dispatch::CallArrived arrived;
+  dispatch::CallArrived arrived = arrival_;
   arrived.service = service_;
   arrived.rank = options_.rank;
   arrived.deadline = outgoing_.deadline;
@@ -258,6 +336,9 @@
     server_.Record("caller_gone", outgoing_.call, "", service_name_, "");
     co_return false;
   }
+  if (race_->fallback() != nullptr) {
+    co_return co_await PassOn(*race_->fallback());
+  }
   if (body_.failed()) {
     co_return co_await Refuse(
         MakeRefusal(400, refused.outcome, "bad-body", "The body broke off."));
@@ -270,6 +351,9 @@
   ResponseHead head = attempt.response().get().base();
   RemoveHopFields(head);
   head.version(11);
+  if (!server_.context.dialect->annotates) {
+    return head;
+  }
   head.set(kOutcomeHeader, kOutcomeRan);
   head.set(kTargetHeader, server_.context.target_name(attempt.target()));
   head.set(kCallHeader, outgoing_.call);
@@ -300,7 +384,7 @@
   answer.body() = {attempt.body().data(), attempt.body().size()};
   if (length) {
     answer.content_length(*length);
-  } else if (attempt.response().chunked()) {
+  } else if (!attempt.body().empty() || MayHaveBody(attempt)) {
     answer.content_length(attempt.body().size());
   }
   answer.keep_alive(Keeps());
@@ -313,6 +397,15 @@
   co_return !error && answer.keep_alive();
 }
 
+/// Tells whether the answer to a call may have a body at all (RFC 9112, 6.3).
+bool Call::MayHaveBody(Attempt& attempt) const {
+  const unsigned code = attempt.response().get().result_int();
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return request_.get().method() != beast::http::verb::head &&
+         code != kNoContent && code != kNotModified;
+}
+
 bool Call::IsResumable(const ResponseHead& head) const {
   return !outgoing_.at_most_once &&
          outgoing_.head.method() == beast::http::verb::get &&
@@ -338,7 +431,11 @@
   answer.keep_alive(keep);
   passing_ = &attempt.lease()->stream;
   RelayEnd end = RelayEnd::kCallerLost;
-  if (co_await relay.SendHead(answer.base())) {
+  bool started = co_await relay.SendHead(answer.base());
+  if (started && !attempt.body().empty()) {
+    started = co_await relay.PassHeld(attempt.body());
+  }
+  if (started) {
     end =
         co_await relay.Pass(attempt.lease()->stream, attempt.lease()->buffer,
                             response, resumable ? kResumableStall : kBodyStall);
--- a/src/kingcupshed/http/internal/call.h
+++ b/src/kingcupshed/http/internal/call.h
@@ -46,6 +46,10 @@
   void FinishKey(Outcome outcome, KeptAnswer answer);
   void PrepareRequest();
   void HandleCallerGone();
+  [[nodiscard]] bool Routed() const;
+  [[nodiscard]] std::optional<Refusal> FindRow();
+  [[nodiscard]] std::optional<Refusal> FindRoute();
+  [[nodiscard]] bool MayHaveBody(Attempt& attempt) const;
   [[nodiscard]] std::unique_ptr<Race> MakeRace();
   [[nodiscard]] dispatch::CallArrived Arrival() const;
   [[nodiscard]] bool Keeps() const;
@@ -62,6 +66,8 @@
   ServiceId service_{};
   table::Semantics semantics_ = table::Semantics::kIdempotent;
   Duration row_deadline_{};
+  /// What the route says of the call, for the dispatcher.
+  dispatch::CallArrived arrival_;
   OutgoingRequest outgoing_;
   std::optional<KeyedCall> claimed_;
   std::unique_ptr<Race> race_;
--- a/src/kingcupshed/http/internal/race.cc
+++ b/src/kingcupshed/http/internal/race.cc
@@ -81,15 +81,13 @@
       HandleOver(*over);
     } else if (std::holds_alternative<DeadlinePassed>(event)) {
       GiveUp(RefuseReason::kDeadline, Duration::zero());
-    } else if (std::holds_alternative<CallerLeft>(event) &&
-               !request_.at_most_once) {
-      refusal_.caller_gone = true;
-      GiveUp(RefuseReason::kDeadline, Duration::zero());
+    } else if (std::holds_alternative<CallerLeft>(event)) {
+      HandleCallerLeft();
     }
   }
   co_await AwaitRunning();
   if (winner_ == nullptr) {
-    refusal_.outcome = machine_.outcome();
+    refusal_.outcome = fallback_ != nullptr ? Outcome::kRan : machine_.outcome();
     if (refusal_.reason == RefuseReason::kOutcomeUnknown &&
         refusal_.outcome == Outcome::kNotRun) {
       // Nothing was sent, whatever the dispatcher had to suppose.
@@ -101,6 +99,15 @@
   co_return winner_;
 }
 
+/// Work that may run only once goes on, but is not started any more.
+void Race::HandleCallerLeft() {
+  caller_left_ = true;
+  if (!request_.at_most_once || machine_.outcome() == Outcome::kNotRun) {
+    refusal_.caller_gone = true;
+    GiveUp(RefuseReason::kDeadline, Duration::zero());
+  }
+}
+
 void Race::HandleAction(const dispatch::Action& action) {
   if (const auto* start = std::get_if<dispatch::StartAttempt>(&action)) {
     Start(*start);
@@ -118,10 +125,11 @@
 
 void Race::Start(const dispatch::StartAttempt& start) {
   const bool gone = request_.body != nullptr && request_.body->streamed();
-  if (gone || !machine_.Start(start.attempt)) {
-    // The body went to an earlier target and can't be sent again.
+  if (gone || caller_left_ || !machine_.Start(start.attempt)) {
+    // The body went to an earlier target and can't be sent again, or nobody
+    // waits for the answer any more.
     PostEnded(start.attempt, AttemptResult::kCancelled);
-    if (gone) {
+    if (gone || caller_left_) {
       GiveUp(RefuseReason::kRefusedByTargets, std::chrono::seconds(1));
     }
     return;
@@ -152,6 +160,13 @@
     CancelRunning();
     return;
   }
+  if (over.result == AttemptResult::kErrored && machine_.waiting()) {
+    // The failure is passed on when no other attempt does better.
+    attempt.Finish();
+    fallback_ = &attempt;
+    PostEnded(over.attempt, over.result);
+    return;
+  }
   const AttemptResult result = over.result == AttemptResult::kAnswered
                                    ? AttemptResult::kCancelled
                                    : over.result;
--- a/src/kingcupshed/http/internal/race.h
+++ b/src/kingcupshed/http/internal/race.h
@@ -58,6 +58,10 @@
   /// Ends the winning attempt.
   void Finish(dispatch::AttemptResult result);
 
+  /// Attempt whose whole answer says that the work failed, or null; to be
+  /// passed on when `Run` gave no attempt.
+  [[nodiscard]] Attempt* fallback() const noexcept { return fallback_; }
+
   /// Valid when `Run` gave no attempt.
   [[nodiscard]] const RaceRefusal& refusal() const noexcept { return refusal_; }
   [[nodiscard]] CallId call() const noexcept { return call_; }
@@ -81,6 +85,7 @@
   asio::awaitable<RaceEvent> Next();
   void Push(const RaceEvent& event);
   void Start(const dispatch::StartAttempt& start);
+  void HandleCallerLeft();
   void HandleAction(const dispatch::Action& action);
   void HandleOver(const AttemptOver& over);
   void GiveUp(dispatch::RefuseReason reason, Duration retry_after);
@@ -100,8 +105,10 @@
   std::size_t running_ = 0;
   CallId call_{};
   bool open_ = false;
+  bool caller_left_ = false;
   bool told_dispatcher_ = false;
   Attempt* winner_ = nullptr;
+  Attempt* fallback_ = nullptr;
   RaceRefusal refusal_;
 };
 
--- a/src/kingcupshed/http/internal/reply.cc
+++ b/src/kingcupshed/http/internal/reply.cc
@@ -15,6 +15,18 @@
 
 constexpr Duration kWriteTimeout = std::chrono::seconds(30);
 
+/// Renders a time for `Retry-After`, rounded up.
+std::string RetryAfterText(Duration wait, bool fractional) {
+  if (!fractional) {
+    const double seconds = std::ceil(ToSeconds(wait));
+    return std::to_string(static_cast<std::int64_t>(seconds));
+  }
+  const auto ms = static_cast<std::int64_t>(std::ceil(ToMilliseconds(wait)));
+  std::string digits = std::to_string(ms % 1000);
+  digits.insert(0, 3 - digits.size(), '0');
+  return std::to_string(ms / 1000) + "." + digits;
+}
+
 using TextResponse = beast::http::response<beast::http::string_body>;
 
 asio::awaitable<bool> Send(beast::tcp_stream& caller, TextResponse response) {
@@ -31,16 +43,19 @@
 
 asio::awaitable<bool> SendRefusal(beast::tcp_stream& caller,
                                   Refusal refusal,
+                                  const Dialect& dialect,
                                   bool keep) {
   TextResponse response(beast::http::int_to_status(refusal.code), 11);
   response.set(beast::http::field::content_type, "text/plain");
-  response.set(kOutcomeHeader, OutcomeName(refusal.outcome));
-  response.set(kReasonHeader, refusal.reason);
+  if (dialect.annotates) {
+    response.set(kOutcomeHeader, OutcomeName(refusal.outcome));
+    response.set(kReasonHeader, refusal.reason);
+  }
   if (refusal.retry_after > Duration::zero() &&
       refusal.outcome == Outcome::kNotRun) {
-    const double seconds = std::ceil(ToSeconds(refusal.retry_after));
-    response.set(beast::http::field::retry_after,
-                 std::to_string(static_cast<std::int64_t>(seconds)));
+    response.set(
+        beast::http::field::retry_after,
+        RetryAfterText(refusal.retry_after, dialect.fractional_retry_after));
   }
   response.keep_alive(keep);
   response.body() = std::string(refusal.text) + "\n";
--- a/src/kingcupshed/http/internal/reply.h
+++ b/src/kingcupshed/http/internal/reply.h
@@ -12,6 +12,7 @@
 /// @return True when the caller's connection may be used again.
 [[nodiscard]] asio::awaitable<bool> SendRefusal(beast::tcp_stream& caller,
                                                 Refusal refusal,
+                                                const Dialect& dialect,
                                                 bool keep);
 
 /// Answers a caller with a page of the VM.
--- a/src/kingcupshed/http/internal/request_check.cc
+++ b/src/kingcupshed/http/internal/request_check.cc
@@ -12,7 +12,6 @@
 constexpr std::uint64_t kMaxDepth = 32;
 constexpr std::uint64_t kMaxDeadlineMs = 24ULL * 3600 * 1000;
 constexpr std::size_t kMaxKeySize = 200;
-constexpr std::uint64_t kMaxRequestBody = 1ULL << 30U;
 
 Refusal Refuse(unsigned code, std::string_view reason, std::string_view text) {
   return {code, Outcome::kNotRun, reason, text, Duration::zero()};
@@ -26,10 +25,10 @@
     return Refuse(408, "slow-header", "The request took too long to come in.");
   }
   if (error == Error::header_limit) {
-    return Refuse(431, "header-too-large", "The header is over 16 KiB.");
+    return Refuse(431, "header-too-large", "The header is too large.");
   }
   if (error == Error::body_limit) {
-    return Refuse(413, "body-too-large", "The body is over 1 GiB.");
+    return Refuse(413, "body-too-large", "The body is too large.");
   }
   if (error == Error::bad_content_length ||
       error == Error::bad_transfer_encoding ||
@@ -42,7 +41,8 @@
   return Refuse(400, "malformed", "The request is malformed.");
 }
 
-std::optional<Refusal> CheckRequest(const RequestParser& request) {
+std::optional<Refusal> CheckRequest(const RequestParser& request,
+                                    std::uint64_t most_body_bytes) {
   const auto& head = request.get();
   if (head.version() != 11) {
     return Refuse(505, "bad-version", "Only HTTP/1.1 is served.");
@@ -69,8 +69,8 @@
     return Refuse(417, "bad-expect", "Only 100-continue is served.");
   }
   const auto length = request.content_length();
-  if (length && *length > kMaxRequestBody) {
-    return Refuse(413, "body-too-large", "The body is over 1 GiB.");
+  if (length && *length > most_body_bytes) {
+    return Refuse(413, "body-too-large", "The body is too large.");
   }
   return std::nullopt;
 }
--- a/src/kingcupshed/http/internal/request_check.h
+++ b/src/kingcupshed/http/internal/request_check.h
@@ -23,7 +23,9 @@
     const boost::system::error_code& error) noexcept;
 
 /// Refuses requests whose end or meaning is ambiguous.
-[[nodiscard]] std::optional<Refusal> CheckRequest(const RequestParser& request);
+[[nodiscard]] std::optional<Refusal> CheckRequest(
+    const RequestParser& request,
+    std::uint64_t most_body_bytes);
 
 /// Reads the headers of a call.
 /// @return A refusal when one of them is malformed.
--- a/src/kingcupshed/http/internal/server_state.cc
+++ b/src/kingcupshed/http/internal/server_state.cc
@@ -33,7 +33,8 @@
             state.Record("connections_retired", "",
                          state.context.target_name(target), "",
                          std::to_string(count) + " silent");
-          }};
+          },
+          context.connect_timeout};
 }
 
 }  // namespace
@@ -49,6 +50,10 @@
   return call_prefix_ + std::to_string(next_call_++);
 }
 
+SessionLimits ServerState::Limits() const {
+  return context.session_limits ? context.session_limits() : SessionLimits{};
+}
+
 void ServerState::Record(std::string kind,
                          const std::string& call,
                          std::string target,
--- a/src/kingcupshed/http/internal/server_state.h
+++ b/src/kingcupshed/http/internal/server_state.h
@@ -20,6 +20,9 @@
   /// Returns a name for a new call, unique in the fleet.
   [[nodiscard]] std::string NextCallName();
 
+  /// Returns the limits in force for callers.
+  [[nodiscard]] SessionLimits Limits() const;
+
   /// Records an event of a call.
   void Record(std::string kind,
               const std::string& call,
--- a/src/kingcupshed/http/internal/session.cc
+++ b/src/kingcupshed/http/internal/session.cc
@@ -18,8 +18,6 @@
 
 using asio::experimental::awaitable_operators::operator||;
 
-constexpr Duration kHeaderTimeout = std::chrono::seconds(10);
-constexpr Duration kIdleTimeout = std::chrono::seconds(60);
 /// Time for the first request of a connection that came in during a stop.
 constexpr Duration kLastIdleTimeout = std::chrono::seconds(1);
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
@@ -79,7 +77,8 @@
     co_return false;
   }
   server_.idle.insert(&stream_);
-  stream_.expires_after(server_.closing_idle ? kLastIdleTimeout : kIdleTimeout);
+  stream_.expires_after(server_.closing_idle ? kLastIdleTimeout
+                                             : server_.Limits().idle_timeout);
   boost::system::error_code error;
   const std::size_t size = co_await stream_.async_read_some(
       buffer_.prepare(kFirstRead),
@@ -99,7 +98,8 @@
 /// Reads the head of a request within the time allowed for it.
 asio::awaitable<boost::system::error_code> Session::ReadHead(
     RequestParser& request) {
-  asio::steady_timer limit(stream_.get_executor(), kHeaderTimeout);
+  asio::steady_timer limit(stream_.get_executor(),
+                           server_.Limits().header_timeout);
   for (;;) {
     boost::system::error_code error;
     buffer_.consume(request.put(buffer_.data(), error));
@@ -121,19 +121,21 @@
 
 asio::awaitable<bool> Session::ServeRequest() {
   RequestParser request;
-  request.header_limit(kMaxHeaderSize);
-  request.body_limit(boost::none);
+  const SessionLimits limits = server_.Limits();
+  request.header_limit(limits.header_bytes);
+  request.body_limit(limits.body_bytes);
   stream_.expires_never();
   const boost::system::error_code error = co_await ReadHead(request);
   if (error == beast::http::error::end_of_stream) {
     co_return false;
   }
   if (error) {
-    co_await SendRefusal(stream_, RefusalForParseError(error), false);
+    co_await SendRefusal(stream_, RefusalForParseError(error),
+                         *server_.context.dialect, false);
     co_return false;
   }
-  if (const auto refusal = CheckRequest(request)) {
-    co_await SendRefusal(stream_, *refusal, false);
+  if (const auto refusal = CheckRequest(request, limits.body_bytes)) {
+    co_await SendRefusal(stream_, *refusal, *server_.context.dialect, false);
     co_return false;
   }
   served_ = true;
--- a/src/kingcupshed/http/internal/target_pool.cc
+++ b/src/kingcupshed/http/internal/target_pool.cc
@@ -15,9 +15,9 @@
 
 namespace {
 
-constexpr Duration kConnectTimeout = std::chrono::seconds(1);
-/// Below the idle limits that middleboxes commonly have.
-constexpr Duration kMaxIdle = std::chrono::seconds(20);
+/// Part of the announced keep-alive time for which a connection is used; the
+/// rest covers requests that cross the target's close.
+constexpr double kKeepAlivePart = 0.8;
 constexpr Duration kProvenFor = std::chrono::milliseconds(250);
 constexpr Duration kLateAtLeast = std::chrono::milliseconds(400);
 constexpr Duration kLateAtMost = std::chrono::seconds(5);
@@ -82,7 +82,9 @@
     if (here->busy) {
       continue;
     }
-    const bool usable = !here->retired && now - here->proven < kMaxIdle &&
+    const bool usable = !here->retired && now - here->proven <
+                            FromSeconds(kKeepAlivePart *
+                                        ToSeconds(here->keep_alive)) &&
                         here->proven >= entry.suspect_since &&
                         IsQuiet(here->stream.socket());
     if (!usable) {
@@ -134,7 +136,7 @@
   if (error) {
     co_return Lease();
   }
-  connection.stream.expires_after(kConnectTimeout);
+  connection.stream.expires_after(context_.connect_timeout);
   co_await connection.stream.async_connect(
       *endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
--- a/src/kingcupshed/http/internal/target_pool.h
+++ b/src/kingcupshed/http/internal/target_pool.h
@@ -26,6 +26,8 @@
   TimePoint proven{};
   /// When the request under way was sent.
   TimePoint sent{};
+  /// Time for which the target keeps the connection open while it is idle.
+  Duration keep_alive = std::chrono::seconds(20);
   bool reused = false;
   bool busy = true;
   /// True once the connection is suspected of being silent.
@@ -51,6 +53,8 @@
   std::string source_address;
   /// Tells that connections were retired as silent.
   std::function<void(TargetId, std::size_t count)> on_retired;
+  /// Longest wait for a new connection.
+  Duration connect_timeout = std::chrono::seconds(1);
 };
 
 /// Persistent connections to targets, at most a fixed number for each.
--- a/src/kingcupshed/http/refusal.cc
+++ b/src/kingcupshed/http/refusal.cc
@@ -15,7 +15,7 @@
 };
 
 /// By `dispatch::RefuseReason`.
-constexpr std::array<ReasonEntry, 7> kReasons{{
+constexpr std::array<ReasonEntry, 8> kReasons{{
     {404, "unknown-service", "The table has no row for this service."},
     {503, "rate-limited", "The row's rate limit is reached."},
     {503, "queue-full", "The row's queue is full."},
@@ -23,6 +23,7 @@
     {503, "no-target", "No target takes work now."},
     {503, "refused", "The targets refused the work."},
     {502, "outcome-unknown", "No whole answer came; the work may have run."},
+    {503, "overloaded", "No target could answer in time."},
 }};
 
 constexpr unsigned kBadGateway = 502;
@@ -45,7 +46,9 @@
     // 503 invites the caller to repeat the call; work that may have run
     // must not look like that.
     refusal.code = kBadGateway;
-    refusal.text = kReasons.back().text;
+    refusal.text =
+        kReasons[static_cast<std::size_t>(dispatch::RefuseReason::kOutcomeUnknown)]
+            .text;
   }
   return refusal;
 }
--- a/src/kingcupshed/http/server.cc
+++ b/src/kingcupshed/http/server.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "kingcupshed/http/address.h"
+#include "kingcupshed/http/internal/health_probe.h"
 #include "kingcupshed/http/internal/server_state.h"
 #include "kingcupshed/http/internal/session.h"
 
@@ -69,6 +70,16 @@
   return true;
 }
 
+void Server::Probe(ProbeRequest request,
+                   std::function<void(ProbeOutcome)> done) {
+  asio::co_spawn(
+      state_->io, RunHealthProbe(*state_, std::move(request)),
+      [state = state_, done = std::move(done)](const std::exception_ptr& fault,
+                                               ProbeOutcome outcome) {
+        done(fault ? ProbeOutcome{} : outcome);
+      });
+}
+
 void Server::BeginStop() {
   state_->stopping = true;
 }
--- a/src/kingcupshed/http/server.h
+++ b/src/kingcupshed/http/server.h
@@ -9,8 +9,10 @@
 
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/core/names.h"
+#include "kingcupshed/http/dialect.h"
 #include "kingcupshed/http/dispatch_driver.h"
 #include "kingcupshed/http/key_gate.h"
+#include "kingcupshed/http/routed_call.h"
 #include "kingcupshed/table/table.h"
 #include "kingcupshed/timeline/recorder.h"
 
@@ -51,6 +53,37 @@
   /// Returns whether the VM knows enough of leaving targets to start work; it
   /// does not just after a pause. Always when absent.
   std::function<bool()> is_current{};
+  /// Header names towards callers and targets; never null.
+  const Dialect* dialect = &OwnDialect();
+  /// Finds the route of a call. When absent, the first part of the path names
+  /// the service and a header the rank.
+  RouteFinder find_route{};
+  /// Returns the limits in force; those of `SessionLimits` when absent.
+  std::function<SessionLimits()> session_limits{};
+  /// Answers up to this size are read whole before they are passed on.
+  std::size_t hold_bytes = 64UL * 1024;
+  /// Longest wait for a connection to a target.
+  Duration connect_timeout = std::chrono::seconds(1);
+  /// Tells the name that a call has in logs.
+  std::function<void(CallId, const std::string& name)> on_named{};
+};
+
+/// How a health check of a target ended.
+struct ProbeOutcome {
+  /// True when the instance that was meant answered.
+  bool answered = false;
+  /// True when it says that it is well.
+  bool healthy = false;
+  std::optional<LoadReport> load;
+  /// Time from sending to the answer.
+  Duration round_trip{};
+};
+
+/// One health check.
+struct ProbeRequest {
+  TargetId target{};
+  std::string path;
+  Duration timeout = std::chrono::seconds(1);
 };
 
 /// Serves callers over HTTP/1.1 and passes their calls to targets.
@@ -65,6 +98,9 @@
   /// @return False when the address can't be bound.
   [[nodiscard]] bool Listen(const std::string& address);
 
+  /// Sends a health check over a pooled connection to a target.
+  void Probe(ProbeRequest request, std::function<void(ProbeOutcome)> done);
+
   /// Closes each connection after the answer under way.
   void BeginStop();
 
--- /dev/null
+++ b/src/kingcupshed/placement/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace kingcupshed::placement {
+
+struct BudgetRule;
+struct Config;
+class Placer;
+class RetryBudget;
+class ServiceModel;
+class TargetModel;
+
+}  // namespace kingcupshed::placement
--- /dev/null
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -0,0 +1,360 @@
+// Looking for the target of a call.
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "kingcupshed/placement/internal/state.h"
+
+namespace kingcupshed::placement::internal {
+
+using dispatch::RefuseReason;
+using routing::Distance;
+
+namespace {
+
+/// A report of this age needs no probe: less changes at a target meanwhile than
+/// by one call.
+constexpr Duration kFresh = std::chrono::milliseconds(10);
+/// Targets probed in each round, nearest first.
+constexpr std::array<std::size_t, 3> kProbesOfRound{3, 4, 3};
+/// The last round asks the targets of other regions.
+constexpr std::uint32_t kRemoteRound = 2;
+/// Wait for probes beyond twice the round trip.
+constexpr Duration kProbeSlack = std::chrono::milliseconds(4);
+/// A call needs probes when its objective is below this multiple of the work:
+/// with more room a badly chosen target is still in time.
+constexpr int kTightObjective = 8;
+/// Room for the spread of work around what is usual.
+constexpr double kSpread = 1.15;
+/// Time between two searches of a call that waits for room.
+constexpr Duration kSearchInterval = std::chrono::milliseconds(12);
+/// Part of the objective for which a call waits for room. Callers that are
+/// refused sooner can still be served in time when they come back.
+constexpr int kWaitDivisor = 8;
+/// Time by which a target of another zone or region has to be faster, since
+/// answers from there cost bytes on shared links.
+constexpr std::array<Duration, routing::kDistanceCount> kDistanceCost{
+    Duration::zero(), std::chrono::milliseconds(8),
+    std::chrono::milliseconds(50)};
+/// The same for large answers.
+constexpr std::array<Duration, routing::kDistanceCount> kBulkDistanceCost{
+    Duration::zero(), std::chrono::milliseconds(400), std::chrono::seconds(3)};
+/// Targets that fail more of their work than this are used when no other can.
+constexpr double kMostFailing = 0.5;
+/// Weight of a target's failures against its speed.
+constexpr double kFailureCost = 4.0;
+/// Random part of the costs, so that VMs with the same reports choose apart.
+constexpr double kCostNoise = 0.1;
+/// Random part of the costs by which targets are chosen for probes.
+constexpr double kProbeNoise = 0.6;
+/// Slots that calls leave free at targets of a service that is used by more
+/// urgent ones.
+constexpr double kSlotsLeftFree = 1.0;
+/// A caller waits at most this part of its time before it comes back.
+constexpr int kReturnDivisor = 3;
+constexpr Duration kShortestReturn = std::chrono::milliseconds(15);
+constexpr Duration kLongestQuickReturn = std::chrono::milliseconds(80);
+constexpr Duration kRetryAfterNoTarget = std::chrono::milliseconds(300);
+/// Hedges in time leave this part of the budget for repeats after failures.
+constexpr double kHedgeReserve = 2.0;
+/// A try is late once it took this multiple of what was expected.
+constexpr double kLateFactor = 1.6;
+/// A try is taken for silent once it took this multiple of what was expected.
+constexpr double kSilentFactor = 4.0;
+
+Duration Times(double factor, Duration duration) {
+  return FromSeconds(factor * ToSeconds(duration));
+}
+
+}  // namespace
+
+void Engine::Search(Call& call) {
+  call.round = 0;
+  call.asked.clear();
+  call.probed.clear();
+  ++call.searches;
+  NextRound(call);
+}
+
+bool Engine::NeedsProbes(const Call& call) const {
+  return call.request.objective != TimePoint::max() &&
+         call.request.objective - call.arrived < kTightObjective * WorkOf(call);
+}
+
+std::vector<Candidate> Engine::FindCandidates(const Call& call) {
+  std::vector<Candidate> candidates;
+  const Service& service = ServiceOf(call);
+  const Duration work = WorkOf(call);
+  const auto& distance_cost =
+      call.request.bulk ? kBulkDistanceCost : kDistanceCost;
+  std::vector<Candidate> spare;
+  for (const TargetId id : service.targets) {
+    TargetModel& target = targets_.at(id);
+    const bool tried =
+        std::any_of(call.tries.begin(), call.tries.end(),
+                    [id](const Try& one) { return one.target == id; });
+    if (tried) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.target = &target;
+    candidate.estimate = target.Expect(service.model, work, now_);
+    candidate.expected = candidate.estimate.completion + RoundTrip(target);
+    const double failing = target.failing(now_);
+    candidate.cost =
+        Times(1.0 + kFailureCost * failing, candidate.expected) +
+        distance_cost[static_cast<std::size_t>(target.facts().distance)];
+    const bool doubtful = target.avoided(now_) || failing > kMostFailing;
+    (doubtful ? spare : candidates).push_back(candidate);
+  }
+  return candidates.empty() ? spare : candidates;
+}
+
+void Engine::NextRound(Call& call) {
+  if (!NeedsProbes(call)) {
+    Decide(call);
+    return;
+  }
+  std::vector<Candidate> candidates = FindCandidates(call);
+  const bool far_round = call.round == kRemoteRound;
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    const TargetId id = candidate.target->facts().id;
+    const bool far = candidate.target->facts().distance == Distance::kRemote;
+    return far != far_round || call.asked.count(id) > 0;
+  });
+  for (Candidate& candidate : candidates) {
+    candidate.cost =
+        Times(1.0 + kProbeNoise * (random_.Unit() - 0.5), candidate.cost);
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.cost < b.cost;
+            });
+  candidates.resize(
+      std::min(candidates.size(), kProbesOfRound[call.round]));
+  Probe(call, candidates);
+  if (call.probed.empty()) {
+    Decide(call);
+    return;
+  }
+  const Distance farthest = far_round ? Distance::kRemote : Distance::kRegion;
+  call.wait = Wait::kProbes;
+  SetWake(call, now_ +
+                    2 * config_.round_trip[static_cast<std::size_t>(farthest)] +
+                    kProbeSlack);
+}
+
+void Engine::Probe(Call& call, const std::vector<Candidate>& candidates) {
+  for (const Candidate& candidate : candidates) {
+    const TargetId id = candidate.target->facts().id;
+    call.asked.insert(id);
+    if (candidate.target->report() &&
+        now_ - candidate.target->reported() <= kFresh) {
+      continue;
+    }
+    call.probed.insert(id);
+    if (probes_.try_emplace(id, now_).second) {
+      ++ServiceOf(call).counters.probes;
+      actions_.emplace_back(dispatch::ProbeTarget{id});
+    }
+  }
+}
+
+void Engine::SettleProbe(TargetId target) {
+  std::vector<CallId> settled;
+  for (auto& [id, call] : calls_) {
+    if (call.wait == Wait::kProbes && call.probed.erase(target) > 0 &&
+        call.probed.empty()) {
+      settled.push_back(id);
+    }
+  }
+  for (const CallId id : settled) {
+    const auto found = calls_.find(id);
+    if (found != calls_.end()) {
+      Decide(found->second);
+    }
+  }
+}
+
+bool Engine::IsInTime(const Call& call, const Candidate& candidate) const {
+  return Times(kSpread, candidate.expected) <= LeftToObjective(call);
+}
+
+bool Engine::HasRoom(const Call& call, const Candidate& candidate) const {
+  const auto service = services_.find(call.request.service);
+  const bool guest = service != services_.end() &&
+                     call.request.rank > service->second.first_rank;
+  const double slots = candidate.target->facts().slots;
+  const double left = slots - candidate.estimate.backlog - 1.0;
+  return left >= (guest ? kSlotsLeftFree : 0.0) - 0.5;
+}
+
+void Engine::Decide(Call& call) {
+  call.wait = Wait::kNothing;
+  SetWake(call, TimePoint::max());
+  std::vector<Candidate> candidates = FindCandidates(call);
+  const Candidate* best = nullptr;
+  for (Candidate& candidate : candidates) {
+    candidate.cost =
+        Times(1.0 + kCostNoise * (random_.Unit() - 0.5), candidate.cost);
+    if (best == nullptr || candidate.cost < best->cost) {
+      best = &candidate;
+    }
+  }
+  if (best == nullptr) {
+    if (call.running() > 0) {
+      return;
+    }
+    Refuse(call,
+           call.maybe_ran ? RefuseReason::kOutcomeUnknown
+           : call.tries.empty() ? RefuseReason::kNoTarget
+                                : RefuseReason::kRefusedByTargets,
+           kRetryAfterNoTarget);
+    return;
+  }
+  const auto service = services_.find(call.request.service);
+  const bool guest = call.request.rank > service->second.first_rank;
+  if (IsInTime(call, *best) && (!guest || HasRoom(call, *best))) {
+    Start(call, *best, call.hedging ? "hedge" : "in time");
+    return;
+  }
+  if (NeedsProbes(call) && call.round + 1 < kProbesOfRound.size()) {
+    ++call.round;
+    const bool far = call.round == kRemoteRound;
+    const Duration trip = config_.round_trip[static_cast<std::size_t>(
+        far ? Distance::kRemote : Distance::kRegion)];
+    const bool far_pays =
+        !call.request.bulk &&
+        Times(kSpread, WorkOf(call)) + 2 * trip <= LeftToObjective(call);
+    if (!far || far_pays) {
+      NextRound(call);
+      return;
+    }
+  }
+  HandleNoRoom(call, best);
+}
+
+void Engine::HandleNoRoom(Call& call, const Candidate* best) {
+  const Duration work = WorkOf(call);
+  const bool can_make_it = LeftToObjective(call) > Times(kSpread, work);
+  const bool in_deadline = best->expected < LeftToDeadline(call);
+  if (call.hedging) {
+    if (!can_make_it && in_deadline && HasRoom(call, *best)) {
+      Start(call, *best, "rescue");
+      return;
+    }
+    // The running try goes on alone, for now.
+    call.hedging = false;
+    SetWake(call, now_ + std::max(work, LeftToObjective(call)));
+    return;
+  }
+  const Duration given = call.request.objective - call.arrived;
+  const bool may_wait = can_make_it && (now_ - call.arrived) < given / kWaitDivisor;
+  if (may_wait && !call.maybe_ran) {
+    WaitForRoom(call);
+    return;
+  }
+  if (in_deadline && HasRoom(call, *best)) {
+    Start(call, *best, "late, free slot");
+    return;
+  }
+  if (in_deadline && (call.request.returned || !call.tries.empty())) {
+    Start(call, *best, "late, not refused twice");
+    return;
+  }
+  Refuse(call,
+         call.maybe_ran ? RefuseReason::kOutcomeUnknown
+                        : RefuseReason::kOverloaded,
+         BackWhenRoom(call));
+}
+
+void Engine::WaitForRoom(Call& call) {
+  call.wait = Wait::kRoom;
+  ServiceOf(call).waiting.insert(call.request.call);
+  SetWake(call, now_ + Times(0.75 + 0.5 * random_.Unit(), kSearchInterval));
+}
+
+Duration Engine::BackWhenRoom(const Call& call) {
+  const Duration spare =
+      LeftToObjective(call) - Times(kSpread, WorkOf(call));
+  if (spare > 2 * kShortestReturn) {
+    const Duration longest = std::min(spare, kLongestQuickReturn);
+    return kShortestReturn +
+           Times(random_.Unit(), longest - kShortestReturn);
+  }
+  const Duration most = std::max<Duration>(LeftToDeadline(call) / kReturnDivisor,
+                                           kShortestReturn);
+  return Times(0.5 + 0.5 * random_.Unit(), most);
+}
+
+void Engine::Start(Call& call, const Candidate& candidate, const char* why) {
+  Service& service = ServiceOf(call);
+  TargetModel& target = *candidate.target;
+  const bool repeat = call.tries.size() > call.unreachable;
+  if (repeat && !service.budget.TrySpend(
+                    now_, call.hedging ? kHedgeReserve : 0.0)) {
+    if (call.running() == 0) {
+      Refuse(call,
+             call.maybe_ran ? RefuseReason::kOutcomeUnknown
+                            : RefuseReason::kRefusedByTargets,
+             BackWhenRoom(call));
+    }
+    return;
+  }
+  service.waiting.erase(call.request.call);
+  service.counters.repeats += repeat ? 1 : 0;
+  ++service.counters.started;
+  Try attempt;
+  attempt.target = target.facts().id;
+  attempt.started = now_;
+  attempt.expected = candidate.expected;
+  if (target.report() && candidate.estimate.age <= 2 * kFresh) {
+    attempt.slowdown = target.report()->slowdown;
+    attempt.crowded = candidate.estimate.backlog + 1.0 >= target.facts().slots;
+    attempt.waited = candidate.estimate.backlog >= target.facts().slots;
+  }
+  const AttemptId id{static_cast<std::uint32_t>(call.tries.size())};
+  call.tries.push_back(attempt);
+  target.Start(now_);
+  if (observer_) {
+    observer_({call.request.call, attempt.target, candidate.expected,
+               candidate.estimate.age, candidate.estimate.backlog, why});
+  }
+  actions_.emplace_back(dispatch::StartAttempt{call.request.call, id,
+                                               attempt.target, call.hedging});
+  if (call.hedging) {
+    call.hedged = true;
+    call.hedging = false;
+    return;
+  }
+  ArmHedge(call, candidate);
+}
+
+void Engine::ArmHedge(Call& call, const Candidate& candidate) {
+  const bool may_run_twice =
+      call.request.semantics == table::Semantics::kIdempotent &&
+      call.request.replayable && !call.hedged;
+  const std::uint32_t most =
+      call.request.max_attempts > 0 ? call.request.max_attempts : 2;
+  if (!may_run_twice || call.tries.size() - call.unreachable >= most) {
+    return;
+  }
+  const Duration late = Times(kLateFactor, candidate.expected);
+  const bool in_time =
+      late + Times(kSpread, WorkOf(call)) <= LeftToObjective(call);
+  const Duration silent =
+      std::max(Times(kSilentFactor, candidate.expected), LeftToObjective(call));
+  SetWake(call, now_ + (in_time ? late : silent));
+}
+
+void Engine::TryHedge(Call& call) {
+  if (call.answered || call.running() != 1 || call.hedged ||
+      LeftToDeadline(call) < WorkOf(call) ||
+      ServiceOf(call).budget.Left(now_) < 1.0 + kHedgeReserve) {
+    return;
+  }
+  call.hedging = true;
+  Search(call);
+}
+
+}  // namespace kingcupshed::placement::internal
--- /dev/null
+++ b/src/kingcupshed/placement/placer.cc
@@ -0,0 +1,52 @@
+#include "kingcupshed/placement/placer.h"
+
+#include <utility>
+
+#include "kingcupshed/placement/internal/state.h"
+
+namespace kingcupshed::placement {
+
+struct Placer::State {
+  explicit State(Config config) : engine(std::move(config)) {}
+  internal::Engine engine;
+};
+
+Placer::Placer(Config config)
+    : state_(std::make_unique<State>(std::move(config))) {}
+
+Placer::~Placer() = default;
+
+void Placer::SetTargets(const std::vector<TargetFacts>& targets) {
+  state_->engine.SetTargets(targets);
+}
+
+void Placer::SetFirstRank(ServiceId service, Rank rank) {
+  state_->engine.SetFirstRank(service, rank);
+}
+
+void Placer::SetFleetSize(std::size_t vms) {
+  state_->engine.SetFleetSize(vms);
+}
+
+void Placer::SetRetryRule(const BudgetRule& rule) {
+  state_->engine.SetRetryRule(rule);
+}
+
+void Placer::SetObserver(std::function<void(const Decision&)> observer) {
+  state_->engine.SetObserver(std::move(observer));
+}
+
+std::vector<dispatch::Action> Placer::Handle(const dispatch::Event& event,
+                                             TimePoint now) {
+  return state_->engine.Handle(event, now);
+}
+
+std::optional<TimePoint> Placer::NextWake() const {
+  return state_->engine.NextWake();
+}
+
+std::map<ServiceId, ServiceCounters> Placer::ReadCounters() const {
+  return state_->engine.ReadCounters();
+}
+
+}  // namespace kingcupshed::placement
--- /dev/null
+++ b/src/kingcupshed/placement/placer.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kingcupshed/core/ids.h"
+#include "kingcupshed/core/rank.h"
+#include "kingcupshed/dispatch/core.h"
+#include "kingcupshed/placement/retry_budget.h"
+#include "kingcupshed/placement/target_model.h"
+
+namespace kingcupshed::placement {
+
+/// Fixed facts of the VM that a placer decides for.
+struct Config {
+  /// Seed of every random choice.
+  std::uint64_t seed = 1;
+  BudgetRule retries;
+  /// First guess of the round trip to a target, by distance.
+  Duration round_trip[routing::kDistanceCount] = {
+      std::chrono::milliseconds(1), std::chrono::milliseconds(4),
+      std::chrono::milliseconds(62)};
+};
+
+/// What a placer counted for one service.
+struct ServiceCounters {
+  std::uint64_t arrived = 0;
+  std::uint64_t started = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t probes = 0;
+  /// Calls that wait now for a target.
+  std::size_t waiting = 0;
+  /// Time that the service's work usually takes.
+  Duration work{};
+};
+
+/// What is settled about a call when it starts; for logs.
+struct Decision {
+  CallId call{};
+  std::optional<TargetId> target;
+  /// What was expected of the target, with the round trip.
+  Duration expected{};
+  /// Age of the load report that decided.
+  Duration report_age{};
+  double backlog = 0.0;
+  /// Fixed word for the reason of the choice.
+  const char* why = "";
+};
+
+/// Places each call on the target that will be done with it first.
+///
+/// A call whose objective leaves little room is placed by fresh load reports:
+/// a few targets are probed, nearest first, and the call goes to the one that
+/// is expected to answer first. Calls that no target can answer in time wait
+/// for a moment while they still can make it, and are refused otherwise, so
+/// that work that can be in time is not held up by work that can't.
+class Placer final : public dispatch::Core {
+ public:
+  explicit Placer(Config config);
+  ~Placer() override;
+  Placer(const Placer&) = delete;
+  Placer& operator=(const Placer&) = delete;
+
+  /// Replaces the targets that may get new work; calls under way are kept.
+  void SetTargets(const std::vector<TargetFacts>& targets);
+
+  /// Sets the most urgent rank that a service is used by.
+  void SetFirstRank(ServiceId service, Rank rank);
+
+  /// Sets the number of VMs that share fleet-wide budgets.
+  void SetFleetSize(std::size_t vms);
+
+  /// Replaces the rule of the retry budget.
+  void SetRetryRule(const BudgetRule& rule);
+
+  /// Sets what is told of each decision; used for logs.
+  void SetObserver(std::function<void(const Decision&)> observer);
+
+  [[nodiscard]] std::vector<dispatch::Action> Handle(
+      const dispatch::Event& event,
+      TimePoint now) override;
+
+  [[nodiscard]] std::optional<TimePoint> NextWake() const override;
+
+  /// Returns what was counted so far.
+  [[nodiscard]] std::map<ServiceId, ServiceCounters> ReadCounters() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace kingcupshed::placement
--- /dev/null
+++ b/src/kingcupshed/placement/retry_budget.cc
@@ -0,0 +1,63 @@
+#include "kingcupshed/placement/retry_budget.h"
+
+#include <algorithm>
+
+namespace kingcupshed::placement {
+
+namespace {
+
+/// Part of the budget that is used; the rest covers arrivals that the network
+/// holds up from one window into the next.
+constexpr double kUsedPart = 0.9;
+
+}  // namespace
+
+void RetryBudget::Configure(const BudgetRule& rule, std::size_t vms) noexcept {
+  rule_ = rule;
+  vms_ = std::max<std::size_t>(1, vms);
+}
+
+void RetryBudget::NoteCall(TimePoint now) noexcept {
+  Advance(now);
+  ++slots_[newest_].calls;
+}
+
+double RetryBudget::Left(TimePoint now) noexcept {
+  Advance(now);
+  double calls = 0.0;
+  double repeats = 0.0;
+  const std::size_t oldest = (newest_ + 1) % slots_.size();
+  for (std::size_t at = 0; at < slots_.size(); ++at) {
+    // Calls of the slot that leaves the window do not count any more.
+    calls += at == oldest ? 0.0 : slots_[at].calls;
+    repeats += slots_[at].repeats;
+  }
+  const double allowed =
+      rule_.ratio * calls + rule_.slack / static_cast<double>(vms_);
+  return kUsedPart * allowed - repeats;
+}
+
+bool RetryBudget::TrySpend(TimePoint now, double reserve) noexcept {
+  if (Left(now) - reserve < 1.0) {
+    return false;
+  }
+  ++slots_[newest_].repeats;
+  return true;
+}
+
+void RetryBudget::Advance(TimePoint now) noexcept {
+  const Duration length = rule_.window / static_cast<int>(kSlots);
+  if (newest_start_ == TimePoint{} ||
+      now - newest_start_ > 2 * rule_.window) {
+    slots_.fill({});
+    newest_start_ = now;
+    return;
+  }
+  while (now - newest_start_ >= length) {
+    newest_ = (newest_ + 1) % slots_.size();
+    slots_[newest_] = {};
+    newest_start_ += length;
+  }
+}
+
+}  // namespace kingcupshed::placement
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -129,6 +129,30 @@
   settings.*kMember = std::chrono::milliseconds(*number);
 }
 
+template <Duration Settings::*kMember, int kHighestSeconds>
+void ReadSeconds(Settings& settings, const Field& field) {
+  boost::system::error_code error;
+  const auto seconds = field.value->to_number<double>(error);
+  if (error || !(seconds > 0.0) || seconds > kHighestSeconds) {
+    field.Fail("the value is not a time in range",
+               "above 0 to " + std::to_string(kHighestSeconds) + " seconds");
+    return;
+  }
+  settings.*kMember = FromSeconds(seconds);
+}
+
+template <double Settings::*kMember, int kHighest>
+void ReadNumber(Settings& settings, const Field& field) {
+  boost::system::error_code error;
+  const auto number = field.value->to_number<double>(error);
+  if (error || !(number >= 0.0) || number > kHighest) {
+    field.Fail("the value is not a number in range",
+               "0 to " + std::to_string(kHighest));
+    return;
+  }
+  settings.*kMember = number;
+}
+
 void ReadZones(Settings& settings, const Field& field) {
   const json::object* zones = field.value->if_object();
   if (zones == nullptr || zones->empty()) {
@@ -162,13 +186,23 @@
 constexpr std::uint32_t kMaxClaimStreams = 64;
 constexpr int kMaxKeyLifetimeMs = 7 * 24 * 3'600'000;
 
-constexpr std::array<Key, 15> kKeys{{
+constexpr int kMaxWindowSeconds = 3600;
+constexpr int kMaxRetryRatio = 10;
+constexpr int kMaxRetrySlack = 1'000'000;
+
+constexpr std::array<Key, 20> kKeys{{
     {"vm", &ReadText<&Settings::vm>, true},
     {"zone", &ReadText<&Settings::zone>, true},
     {"zones", &ReadZones, true},
     {"listen", &ReadAddress<&Settings::listen>, true},
     {"peer_listen", &ReadAddress<&Settings::peer_listen>, true},
-    {"platform", &ReadAddress<&Settings::platform>, true},
+    {"platform", &ReadAddress<&Settings::platform>, false},
+    {"store", &ReadAddress<&Settings::store>, false},
+    {"pages_listen", &ReadAddress<&Settings::pages_listen>, false},
+    {"retry_ratio", &ReadNumber<&Settings::retry_ratio, kMaxRetryRatio>, false},
+    {"retry_window_s",
+     &ReadSeconds<&Settings::retry_window, kMaxWindowSeconds>, false},
+    {"retry_slack", &ReadNumber<&Settings::retry_slack, kMaxRetrySlack>, false},
     {"policy", &ReadPolicy, false},
     {"max_vms", &ReadCount<&Settings::max_vms, kMaxVms>, false},
     {"log_level", &ReadLogLevel, false},
@@ -241,6 +275,11 @@
     parsed.faults.push_back(
         {"$.zone", "the zone is not one of $.zones", Join(zones)});
   }
+  if (settings.platform.empty() == settings.store.empty()) {
+    parsed.faults.push_back({"$.platform",
+                             "the key is missing, or $.store stands besides",
+                             "one of $.platform and $.store"});
+  }
   if (settings.listen == settings.peer_listen) {
     parsed.faults.push_back({"$.peer_listen", "the address is that of $.listen",
                              "an address of its own"});
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -24,6 +24,17 @@
   std::string peer_listen;
   /// Address of the platform's log and lists.
   std::string platform;
+  /// Address of the platform's store. When given, the VM takes routes and
+  /// targets from there, and the table, key and claim settings have no use.
+  std::string store;
+  /// Address of the VM's own pages when they are not served to callers.
+  std::string pages_listen;
+  /// Repeated arrivals at a service that are allowed for each call.
+  double retry_ratio = 0.2;
+  /// Span over which repeated arrivals are counted.
+  Duration retry_window = std::chrono::seconds(10);
+  /// Repeated arrivals at a service that the fleet may have besides.
+  double retry_slack = 0.0;
   /// Routing policy.
   std::string policy = "region_scan";
   /// Largest number of VMs in the fleet.
