--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -77,7 +77,7 @@
     const KeyedPage page = co_await Read(topic, next, kLongPoll);
     if (page.status == StoreStatus::kDone) {
       TakeRoutes(page);
-      next = page.end;
+      next = page.next;
       continue;
     }
     if (page.status == StoreStatus::kExpired) {
@@ -117,7 +117,7 @@
     if (page.status == StoreStatus::kDone) {
       catalog_.NoteRead(Now());
       TakeTargets(page, whole);
-      next = page.end;
+      next = page.next;
       co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
                                  ToSeconds(kTargetPace)));
       continue;
@@ -146,7 +146,7 @@
     }
   }
   if (whole) {
-    catalog_.KeepOnly(names, page.end, now);
+    catalog_.KeepOnly(names, page.next, now);
   }
   knows_targets_ = true;
   if (catalog_.Advance(now)) {
@@ -166,7 +166,7 @@
     const KeyedPage page = co_await Read(topic, next, kLongPoll);
     if (page.status == StoreStatus::kDone) {
       TakeVms(page);
-      next = page.end;
+      next = page.next;
       continue;
     }
     if (page.status == StoreStatus::kExpired) {
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -42,11 +42,6 @@
   return answer.code == kOk ? StoreStatus::kDone : StoreStatus::kNotDone;
 }
 
-std::uint64_t LoadBig64(const std::string& bytes, std::size_t at) {
-  return endian::load_big_u64(
-      reinterpret_cast<const unsigned char*>(bytes.data() + at));
-}
-
 std::uint32_t LoadBig32(const std::string& bytes, std::size_t at) {
   return endian::load_big_u32(
       reinterpret_cast<const unsigned char*>(bytes.data() + at));
@@ -54,7 +49,7 @@
 
 }  // namespace
 
-KeyedPage DecodeRead(const std::string& body) {
+KeyedPage DecodeRead(const std::string& body, LogOffset from) {
   constexpr std::size_t kHead = 16;
   constexpr std::size_t kLength = 4;
   KeyedPage page;
@@ -62,7 +57,6 @@
     return page;
   }
   page.status = StoreStatus::kDone;
-  page.end = LogOffset{LoadBig64(body, 0)};
   std::vector<std::string> contents;
   std::size_t at = kHead;
   while (body.size() - at >= kLength) {
@@ -75,6 +69,7 @@
   }
   for (const std::string& content : contents) {
     KeyedRecord record;
+    record.offset = LogOffset{ToIndex(from) + page.records.size()};
     const std::size_t key_size =
         content.empty() ? 0 : static_cast<unsigned char>(content.front());
     if (content.size() > key_size) {
@@ -85,6 +80,7 @@
     }
     page.records.push_back(std::move(record));
   }
+  page.next = LogOffset{ToIndex(from) + page.records.size()};
   return page;
 }
 
@@ -102,7 +98,7 @@
     return page;
   }
   page.status = StoreStatus::kDone;
-  page.end = LogOffset{*end};
+  page.next = LogOffset{*end};
   more = FindFlag(*object, "has_more").value_or(false);
   for (const json::value& item : *items) {
     const json::object* entry = item.if_object();
@@ -154,7 +150,7 @@
     }
     if (at == 0) {
       // Records that came while later pages were read are read again from here.
-      whole.end = page.end;
+      whole.next = page.next;
     }
     if (!page.records.empty()) {
       after = page.records.back().key;
@@ -189,11 +185,7 @@
   if (page.status != StoreStatus::kDone) {
     co_return page;
   }
-  page = DecodeRead(answer.body);
-  for (std::size_t at = 0; at < page.records.size(); ++at) {
-    page.records[at].offset = LogOffset{ToIndex(from) + at};
-  }
-  co_return page;
+  co_return DecodeRead(answer.body, from);
 }
 
 asio::awaitable<StoreStatus> Store::Put(
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -34,8 +34,9 @@
 /// Answer to a read of a keyed topic.
 struct KeyedPage {
   StoreStatus status = StoreStatus::kNotDone;
-  /// Offset that the next record will get.
-  LogOffset end{};
+  /// Offset from which to read on. The store may hold more records than it
+  /// answered with, so this is not always the end of its log.
+  LogOffset next{};
   std::vector<KeyedRecord> records;
 };
 
@@ -67,7 +68,8 @@
 };
 
 /// Reads the body of an answer to a read; records that are cut short end it.
-[[nodiscard]] KeyedPage DecodeRead(const std::string& body);
+/// @param from Offset of the first record.
+[[nodiscard]] KeyedPage DecodeRead(const std::string& body, LogOffset from);
 
 /// Reads the body of one page of newest records.
 /// @param more Set to true when further pages follow.
