--- a/src/kingcupshed/catalog/target_catalog.cc
+++ b/src/kingcupshed/catalog/target_catalog.cc
@@ -9,8 +9,8 @@
 namespace {
 
 /// Time after the store's return within which living targets have registered
-/// again, with some room for their next heartbeat.
-constexpr Duration kReturnTime = std::chrono::milliseconds(2500);
+/// again (two seconds), and a little for the reading.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2200);
 /// A removed target is forgotten after this time; no call is under way then.
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
 
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -25,6 +25,7 @@
 /// Time between two reads of the targets: within the time in which a leaving
 /// target must get no more work, with room for a failed read.
 constexpr Duration kTargetPace = std::chrono::milliseconds(1000);
+constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
 
@@ -48,6 +49,7 @@
   asio::co_spawn(io_, FollowRoutes(), asio::detached);
   asio::co_spawn(io_, FollowTargets(), asio::detached);
   asio::co_spawn(io_, FollowVms(), asio::detached);
+  asio::co_spawn(io_, AdvanceTargets(), asio::detached);
 }
 
 asio::awaitable<void> StoreFollower::Pause(Duration duration) {
@@ -154,6 +156,16 @@
   }
 }
 
+/// Lets removals take effect that waited for targets to register again.
+asio::awaitable<void> StoreFollower::AdvanceTargets() {
+  for (;;) {
+    co_await Pause(kAdvanceInterval);
+    if (catalog_.Advance(Now())) {
+      hooks_.on_targets();
+    }
+  }
+}
+
 asio::awaitable<void> StoreFollower::FollowVms() {
   const std::string topic(platform::kVmTopic);
   bool registered = false;
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -51,6 +51,7 @@
   boost::asio::awaitable<void> FollowRoutes();
   boost::asio::awaitable<void> FollowTargets();
   boost::asio::awaitable<void> FollowVms();
+  boost::asio::awaitable<void> AdvanceTargets();
   boost::asio::awaitable<platform::KeyedPage> Read(
       std::string topic,
       std::optional<LogOffset> next,
--- a/src/kingcupshed/http/fetch.cc
+++ b/src/kingcupshed/http/fetch.cc
@@ -1,5 +1,6 @@
 #include "kingcupshed/http/fetch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <netinet/in.h>
@@ -65,7 +66,11 @@
   using Interval =
       asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
   using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  using UserTimeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  constexpr int kUserTimeoutMs = 2000;
   boost::system::error_code ignored;
+  socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(Idle(1), ignored);
   socket.set_option(Interval(1), ignored);
@@ -81,7 +86,8 @@
     co_return result;
   }
   beast::tcp_stream stream(co_await asio::this_coro::executor);
-  stream.expires_after(request.timeout);
+  const TimePoint limit = std::chrono::steady_clock::now() + request.timeout;
+  stream.expires_after(std::min(request.timeout, request.connect_timeout));
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
   if (!BindSource(stream, request.source)) {
@@ -91,6 +97,7 @@
   if (error) {
     co_return result;
   }
+  stream.expires_at(limit);
   if (request.keep_alive_probes) {
     ProbeConnection(stream.socket());
   }
--- a/src/kingcupshed/http/fetch.h
+++ b/src/kingcupshed/http/fetch.h
@@ -20,6 +20,9 @@
   std::map<std::string, std::string> headers;
   std::string body;
   Duration timeout = std::chrono::seconds(2);
+  /// Longest wait for the connection, within `timeout`. A first packet that
+  /// was lost is sent again only after a second or more.
+  Duration connect_timeout = std::chrono::seconds(2);
   /// IP number to send from; empty for the system's choice.
   std::string source;
   /// Sends TCP keep-alive probes, so that a connection that went silent during
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -23,6 +23,9 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kGone = 410;
+/// Some round trips between regions; an unreachable store is tried again soon
+/// after, so that its return is noticed within a second.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(1500);
 /// Pages of 500 keys; more than any deployment has.
 constexpr int kMostPages = 64;
@@ -139,6 +142,7 @@
       request.path += "&after=" + after;
     }
     request.timeout = kAnswerTimeout;
+    request.connect_timeout = kConnectTimeout;
     const http::FetchResult answer = co_await http::Fetch(std::move(request));
     if (StatusOf(answer) != StoreStatus::kDone) {
       co_return KeyedPage{StatusOf(answer), {}, {}};
@@ -178,6 +182,7 @@
     request.path += "&wait_ms=" + std::to_string(wait_ms);
   }
   request.timeout = wait + kAnswerTimeout;
+  request.connect_timeout = kConnectTimeout;
   request.keep_alive_probes = wait_ms > 0;
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
   KeyedPage page;
@@ -198,6 +203,7 @@
   request.path = "/api/log-append?topic=" + topic + "&part=0";
   request.body = EncodeRecord(key, value);
   request.timeout = kAnswerTimeout;
+  request.connect_timeout = kConnectTimeout;
   const http::FetchResult answer = co_await http::Fetch(std::move(request));
   co_return StatusOf(answer);
 }
