--- a/src/kingcupshed/cli/run_command.cc
+++ b/src/kingcupshed/cli/run_command.cc
@@ -38,8 +38,9 @@
   }
   log::Initialize(
       log::ParseSeverity(settings->log_level).value_or(log::Severity::kInfo));
-  const int status = settings->store.empty() ? daemon::Run(*settings)
-                                             : daemon::RunRouted(*settings);
+  const int status = settings->store.empty()
+                         ? daemon::Run(*settings)
+                         : daemon::RunRouted(*settings, settings_file);
   return status == 0 ? ExitStatus::kFine : ExitStatus::kFailed;
 }
 
--- a/src/kingcupshed/daemon/metrics_page.cc
+++ b/src/kingcupshed/daemon/metrics_page.cc
@@ -31,7 +31,7 @@
 constexpr std::array<std::string_view, dispatch::kRefuseReasonCount>
     kReasonNames{"unknown-service", "rate-limited", "queue-full",
                  "deadline",        "no-target",    "refused",
-                 "outcome-unknown"};
+                 "outcome-unknown", "overloaded"};
 
 /// Calls a function with the service's name, the rank and the counts of each
 /// row.
--- /dev/null
+++ b/src/kingcupshed/daemon/placement_metrics.cc
@@ -0,0 +1,71 @@
+#include "kingcupshed/daemon/placement_metrics.h"
+
+#include <array>
+#include <string_view>
+
+#include "kingcupshed/metrics/text_page.h"
+
+namespace kingcupshed::daemon {
+
+namespace {
+
+using placement::ServiceCounters;
+
+struct Count {
+  std::string_view name;
+  std::uint64_t ServiceCounters::*member;
+};
+
+constexpr std::array kCounts{
+    Count{"kingcupshed_calls_arrived_total", &ServiceCounters::arrived},
+    Count{"kingcupshed_calls_answered_total", &ServiceCounters::answered},
+    Count{"kingcupshed_calls_refused_total", &ServiceCounters::refused},
+    Count{"kingcupshed_attempts_started_total", &ServiceCounters::started},
+    Count{"kingcupshed_repeats_total", &ServiceCounters::repeats},
+    Count{"kingcupshed_probes_total", &ServiceCounters::probes}};
+
+struct Level {
+  std::string_view name;
+  double (*read)(const ServiceCounters&);
+};
+
+constexpr std::array kLevels{
+    Level{"kingcupshed_calls_waiting",
+          [](const ServiceCounters& counters) {
+            return static_cast<double>(counters.waiting);
+          }},
+    Level{"kingcupshed_work_seconds",
+          [](const ServiceCounters& counters) {
+            return ToSeconds(counters.work);
+          }},
+    Level{"kingcupshed_work_crowding",
+          [](const ServiceCounters& counters) { return counters.crowding; }},
+    Level{"kingcupshed_target_backlog",
+          [](const ServiceCounters& counters) { return counters.backlog; }},
+    Level{"kingcupshed_target_speed",
+          [](const ServiceCounters& counters) { return counters.speed; }}};
+
+}  // namespace
+
+std::string RenderPlacementMetrics(
+    const Runtime& runtime,
+    const std::map<ServiceId, ServiceCounters>& counters) {
+  metrics::TextPage page;
+  for (const Count& count : kCounts) {
+    for (const auto& [service, counted] : counters) {
+      page.AddCounter(count.name,
+                      {{"service", runtime.services.NameOf(service)}},
+                      static_cast<double>(counted.*count.member));
+    }
+  }
+  for (const Level& level : kLevels) {
+    for (const auto& [service, counted] : counters) {
+      page.AddGauge(level.name,
+                    {{"service", runtime.services.NameOf(service)}},
+                    level.read(counted));
+    }
+  }
+  return page.text();
+}
+
+}  // namespace kingcupshed::daemon
--- /dev/null
+++ b/src/kingcupshed/daemon/placement_metrics.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "kingcupshed/daemon/runtime.h"
+#include "kingcupshed/placement/placer.h"
+
+namespace kingcupshed::daemon {
+
+/// Renders what a placer counted as a page of metrics.
+[[nodiscard]] std::string RenderPlacementMetrics(
+    const Runtime& runtime,
+    const std::map<ServiceId, placement::ServiceCounters>& counters);
+
+}  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -3,13 +3,18 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <sstream>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/daemon/placement_metrics.h"
 #include "kingcupshed/daemon/runtime.h"
+#include "kingcupshed/daemon/settings_watch.h"
 #include "kingcupshed/daemon/stop_driver.h"
 #include "kingcupshed/daemon/store_follower.h"
 #include "kingcupshed/http/dispatch_driver.h"
@@ -40,20 +45,24 @@
 /// before.
 constexpr Duration kFirstTrySlack = std::chrono::milliseconds(5);
 constexpr std::size_t kLeastConnections = 4;
+/// Time between two lines of counts for each service.
+constexpr Duration kReportInterval = std::chrono::seconds(10);
 
 placement::Config PlacementConfig(const settings::Settings& settings) {
   placement::Config config;
   config.seed = std::hash<std::string>{}(settings.vm);
   config.retries = {settings.retry_ratio, settings.retry_window,
                     settings.retry_slack};
+  config.probes_per_target_s = settings.probes_per_target_s;
   return config;
 }
 
 /// One balancing VM on the platform: its parts and what connects them.
 class RoutedVm {
  public:
-  explicit RoutedVm(const settings::Settings& settings)
-      : runtime_(settings),
+  RoutedVm(const settings::Settings& settings, const std::string& file)
+      : settings_(settings),
+        runtime_(settings_),
         store_(settings.store),
         placer_(PlacementConfig(settings)),
         driver_(runtime_.io, placer_),
@@ -61,6 +70,11 @@
         server_(runtime_.io, MakeServerContext()),
         pages_(runtime_.io, MakePagesContext()),
         stop_driver_(runtime_.io, server_, settings.stop_grace),
+        settings_watch_(runtime_.io,
+                        file,
+                        [this](const settings::Settings& changed) {
+                          TakeSettings(changed);
+                        }),
         random_(std::hash<std::string>{}(settings.vm) + 1) {}
 
   int Run();
@@ -72,15 +86,18 @@
   std::optional<http::PageAnswer> FindPage(std::string_view path);
   std::variant<http::RoutedCall, http::Refusal> FindRoute(
       const http::RouteQuery& query);
+  void TakeSettings(const settings::Settings& changed);
   void PutInForce(route::RouteTable table);
   void RenewTargets();
   void Probe(TargetId target);
   asio::awaitable<void> StopGracefully();
+  asio::awaitable<void> ReportRegularly();
   [[nodiscard]] routing::Distance DistanceOf(const std::string& zone) const;
   [[nodiscard]] http::SessionLimits Limits() const;
   [[nodiscard]] std::size_t ConnectionLimit(TargetId target) const;
   [[nodiscard]] bool servable() const;
 
+  settings::Settings settings_;
   Runtime runtime_;
   platform::Store store_;
   placement::Placer placer_;
@@ -95,6 +112,7 @@
   http::Server server_;
   http::Server pages_;
   StopDriver stop_driver_;
+  SettingsWatch settings_watch_;
   Random random_;
 };
 
@@ -147,6 +165,11 @@
   if (path == "/healthz") {
     return http::PageAnswer{200, "text/plain", "ok\n"};
   }
+  if (path == "/metrics") {
+    return http::PageAnswer{200, "text/plain; version=0.0.4",
+                            RenderPlacementMetrics(runtime_,
+                                                   placer_.ReadCounters())};
+  }
   if (path == "/readyz") {
     return stop_driver_.Ready(servable())
                ? http::PageAnswer{200, "text/plain", "ready\n"}
@@ -188,6 +211,21 @@
   return call;
 }
 
+/// Takes over what can change while the VM runs.
+void RoutedVm::TakeSettings(const settings::Settings& changed) {
+  const bool rebind = changed.listen != settings_.listen ||
+                      changed.pages_listen != settings_.pages_listen;
+  if (rebind) {
+    log::Write(log::Severity::kWarning, kPart,
+               "Changed addresses take effect with the next start.");
+  }
+  settings_ = changed;
+  store_.SetAddress(changed.store);
+  const placement::Config config = PlacementConfig(changed);
+  placer_.SetRules(config.retries, config.probes_per_target_s);
+  RenewTargets();
+}
+
 void RoutedVm::PutInForce(route::RouteTable table) {
   const std::string version = std::to_string(ToIndex(table.version));
   routes_.emplace(std::move(table));
@@ -277,6 +315,31 @@
   return std::max(kLeastConnections, whole / vms_);
 }
 
+/// Writes a line with the counts of each service now and then.
+asio::awaitable<void> RoutedVm::ReportRegularly() {
+  asio::steady_timer timer(runtime_.io);
+  for (;;) {
+    timer.expires_after(kReportInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+    for (const auto& [service, counted] : placer_.ReadCounters()) {
+      if (counted.arrived == 0) {
+        continue;
+      }
+      std::ostringstream line;
+      line << "counts service=" << runtime_.services.NameOf(service)
+           << " arrived=" << counted.arrived << " started=" << counted.started
+           << " answered=" << counted.answered
+           << " refused=" << counted.refused << " repeats=" << counted.repeats
+           << " probes=" << counted.probes << " waiting=" << counted.waiting
+           << " work_ms=" << ToMilliseconds(counted.work)
+           << " crowding=" << counted.crowding
+           << " backlog=" << counted.backlog
+           << " speed=" << counted.speed;
+      log::Write(log::Severity::kInfo, "placement", line.str());
+    }
+  }
+}
+
 asio::awaitable<void> RoutedVm::StopGracefully() {
   co_await stop_driver_.Run([] {});
   runtime_.io.stop();
@@ -296,7 +359,9 @@
   }
   driver_.SetProbe([this](TargetId target) { Probe(target); });
   follower_.Start();
+  settings_watch_.Start();
   asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
+  asio::co_spawn(runtime_.io, ReportRegularly(), asio::detached);
   log::Write(log::Severity::kInfo, kPart,
              "VM " + settings.vm + " serves callers at " + settings.listen +
                  ".");
@@ -306,8 +371,8 @@
 
 }  // namespace
 
-int RunRouted(const settings::Settings& settings) {
-  RoutedVm vm(settings);
+int RunRouted(const settings::Settings& settings, const std::string& file) {
+  RoutedVm vm(settings, file);
   return vm.Run();
 }
 
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -62,7 +62,15 @@
                                                std::optional<LogOffset> next,
                                                Duration wait) {
   if (!next) {
-    co_return co_await store_.ReadNewest(std::move(topic));
+    // The end that a listing names may lie beyond the records that it shows. A
+    // second listing shows all that came before the end of the first.
+    const KeyedPage first = co_await store_.ReadNewest(topic);
+    if (first.status != StoreStatus::kDone) {
+      co_return first;
+    }
+    KeyedPage second = co_await store_.ReadNewest(std::move(topic));
+    second.next = first.next;
+    co_return second;
   }
   co_return co_await store_.ReadFrom(std::move(topic), *next, wait);
 }
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -22,6 +22,9 @@
 constexpr int kSilenceFactor = 3;
 constexpr std::uint32_t kDefaultAttempts = 2;
 constexpr Duration kRetryAfterNoTarget = std::chrono::milliseconds(300);
+/// Part of the probe bound that is used; the rest covers VMs that the others do
+/// not know of yet.
+constexpr double kProbePart = 0.75;
 /// Weight of a new round trip in the smoothed one.
 constexpr double kRoundTripGain = 0.05;
 
@@ -63,10 +66,21 @@
   for (auto& [id, service] : services_) {
     service.budget.Configure(config_.retries, vms_);
   }
+  if (config_.probes_per_target_s <= 0.0) {
+    return;
+  }
+  const double rate = kProbePart * config_.probes_per_target_s *
+                      static_cast<double>(targets_.size()) /
+                      static_cast<double>(vms_);
+  if (probe_tokens_.rate() <= 0.0) {
+    probe_tokens_ = TokenBucket(rate, rate, rate);
+  }
+  probe_tokens_.Configure(rate, rate);
 }
 
-void Engine::SetRetryRule(const BudgetRule& rule) {
-  config_.retries = rule;
+void Engine::SetRules(const BudgetRule& retries, double probes_per_target_s) {
+  config_.retries = retries;
+  config_.probes_per_target_s = probes_per_target_s;
   SetFleetSize(vms_);
 }
 
@@ -378,6 +392,9 @@
     out = service.counters;
     out.waiting = service.waiting.size();
     out.work = service.model.work(Duration::zero());
+    out.crowding = service.model.crowding();
+    out.backlog = service.model.backlog();
+    out.speed = service.model.speed();
   }
   return counters;
 }
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -50,6 +50,12 @@
 /// Slots that calls leave free at targets of a service that is used by more
 /// urgent ones.
 constexpr double kSlotsLeftFree = 1.0;
+/// Slots that late calls leave free besides.
+constexpr double kSpareForLate = 1.0;
+/// Estimates of the calls at a target are not whole.
+constexpr double kSlotTolerance = 0.5;
+/// Part of its time that a late call which came back waits for a spare slot.
+constexpr int kLateWaitDivisor = 8;
 /// A caller waits at most this part of its time before it comes back.
 constexpr int kReturnDivisor = 3;
 constexpr Duration kShortestReturn = std::chrono::milliseconds(15);
@@ -130,8 +136,13 @@
             [](const Candidate& a, const Candidate& b) {
               return a.cost < b.cost;
             });
-  candidates.resize(
-      std::min(candidates.size(), kProbesOfRound[call.round]));
+  std::size_t most = kProbesOfRound[call.round];
+  if (config_.probes_per_target_s > 0.0) {
+    probe_tokens_.Advance(now_);
+    most = std::min(most, static_cast<std::size_t>(
+                              std::max(0.0, probe_tokens_.tokens())));
+  }
+  candidates.resize(std::min(candidates.size(), most));
   Probe(call, candidates);
   if (call.probed.empty()) {
     Decide(call);
@@ -155,6 +166,7 @@
     call.probed.insert(id);
     if (probes_.try_emplace(id, now_).second) {
       ++ServiceOf(call).counters.probes;
+      probe_tokens_.Spend(1.0);
       actions_.emplace_back(dispatch::ProbeTarget{id});
     }
   }
@@ -180,13 +192,30 @@
   return Times(kSpread, candidate.expected) <= LeftToObjective(call);
 }
 
-bool Engine::HasRoom(const Call& call, const Candidate& candidate) const {
+bool Engine::IsGuest(const Call& call) const {
+  const auto service = services_.find(call.request.service);
+  return service != services_.end() &&
+         call.request.rank > service->second.first_rank;
+}
+
+/// Tells whether a target has a useful slot free, and more to spare.
+bool Engine::HasRoom(const Call& call,
+                     const Candidate& candidate,
+                     double spare) const {
+  const auto service = services_.find(call.request.service);
+  const double slots =
+      service->second.model.UsefulSlots(candidate.target->facts().slots);
+  const double needed =
+      1.0 + spare + (IsGuest(call) ? kSlotsLeftFree : 0.0) - kSlotTolerance;
+  return slots - candidate.estimate.backlog >= needed;
+}
+
+/// Tells whether one more call would slow a target more than it adds.
+bool Engine::IsCrowded(const Call& call, const Candidate& candidate) const {
   const auto service = services_.find(call.request.service);
-  const bool guest = service != services_.end() &&
-                     call.request.rank > service->second.first_rank;
   const double slots = candidate.target->facts().slots;
-  const double left = slots - candidate.estimate.backlog - 1.0;
-  return left >= (guest ? kSlotsLeftFree : 0.0) - 0.5;
+  const double useful = service->second.model.UsefulSlots(slots);
+  return useful < slots && !HasRoom(call, candidate, 0.0);
 }
 
 void Engine::Decide(Call& call) {
@@ -212,9 +241,8 @@
            kRetryAfterNoTarget);
     return;
   }
-  const auto service = services_.find(call.request.service);
-  const bool guest = call.request.rank > service->second.first_rank;
-  if (IsInTime(call, *best) && (!guest || HasRoom(call, *best))) {
+  if (IsInTime(call, *best) && !IsCrowded(call, *best) &&
+      (!IsGuest(call) || HasRoom(call, *best, 0.0))) {
     Start(call, *best, call.hedging ? "hedge" : "in time");
     return;
   }
@@ -239,7 +267,7 @@
   const bool can_make_it = LeftToObjective(call) > Times(kSpread, work);
   const bool in_deadline = best->expected < LeftToDeadline(call);
   if (call.hedging) {
-    if (!can_make_it && in_deadline && HasRoom(call, *best)) {
+    if (!can_make_it && in_deadline && HasRoom(call, *best, 0.0)) {
       Start(call, *best, "rescue");
       return;
     }
@@ -248,18 +276,13 @@
     SetWake(call, now_ + std::max(work, LeftToObjective(call)));
     return;
   }
-  const Duration given = call.request.objective - call.arrived;
-  const bool may_wait = can_make_it && (now_ - call.arrived) < given / kWaitDivisor;
-  if (may_wait && !call.maybe_ran) {
-    WaitForRoom(call);
-    return;
-  }
-  if (in_deadline && HasRoom(call, *best)) {
-    Start(call, *best, "late, free slot");
+  // Work that is late anyway takes only what work in time leaves.
+  if (in_deadline && !can_make_it && HasRoom(call, *best, kSpareForLate)) {
+    Start(call, *best, "late, spare slot");
     return;
   }
-  if (in_deadline && (call.request.returned || !call.tries.empty())) {
-    Start(call, *best, "late, not refused twice");
+  if (!call.maybe_ran && MayWait(call, work)) {
+    WaitForRoom(call);
     return;
   }
   Refuse(call,
@@ -268,6 +291,18 @@
          BackWhenRoom(call));
 }
 
+/// Tells whether a call may go on waiting in this VM for a target.
+bool Engine::MayWait(const Call& call, Duration work) const {
+  const Duration waited = now_ - call.arrived;
+  const bool can_make_it = LeftToObjective(call) > Times(kSpread, work);
+  if (call.request.returned) {
+    // It is not asked to come back once more.
+    return can_make_it || waited < LeftToDeadline(call) / kLateWaitDivisor;
+  }
+  const Duration given = call.request.objective - call.arrived;
+  return can_make_it && waited < given / kWaitDivisor;
+}
+
 void Engine::WaitForRoom(Call& call) {
   call.wait = Wait::kRoom;
   ServiceOf(call).waiting.insert(call.request.call);
--- a/src/kingcupshed/placement/internal/state.h
+++ b/src/kingcupshed/placement/internal/state.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "kingcupshed/core/random.h"
+#include "kingcupshed/core/token_bucket.h"
 #include "kingcupshed/placement/placer.h"
 #include "kingcupshed/placement/retry_budget.h"
 #include "kingcupshed/placement/service_model.h"
@@ -92,7 +93,7 @@
   void SetTargets(const std::vector<TargetFacts>& targets);
   void SetFirstRank(ServiceId service, Rank rank);
   void SetFleetSize(std::size_t vms);
-  void SetRetryRule(const BudgetRule& rule);
+  void SetRules(const BudgetRule& retries, double probes_per_target_s);
   void SetObserver(std::function<void(const Decision&)> observer);
   [[nodiscard]] std::vector<dispatch::Action> Handle(
       const dispatch::Event& event,
@@ -119,7 +120,12 @@
   [[nodiscard]] bool IsInTime(const Call& call,
                               const Candidate& candidate) const;
   [[nodiscard]] bool HasRoom(const Call& call,
-                             const Candidate& candidate) const;
+                             const Candidate& candidate,
+                             double spare) const;
+  [[nodiscard]] bool IsCrowded(const Call& call,
+                               const Candidate& candidate) const;
+  [[nodiscard]] bool IsGuest(const Call& call) const;
+  [[nodiscard]] bool MayWait(const Call& call, Duration work) const;
   void Probe(Call& call, const std::vector<Candidate>& candidates);
   void HandleNoRoom(Call& call, const Candidate* best);
   void WaitForRoom(Call& call);
@@ -146,6 +152,7 @@
   Config config_;
   Random random_;
   std::size_t vms_ = 1;
+  TokenBucket probe_tokens_;
   std::map<TargetId, TargetModel> targets_;
   std::map<ServiceId, Service> services_;
   std::map<CallId, Call> calls_;
--- a/src/kingcupshed/placement/placer.cc
+++ b/src/kingcupshed/placement/placer.cc
@@ -28,8 +28,8 @@
   state_->engine.SetFleetSize(vms);
 }
 
-void Placer::SetRetryRule(const BudgetRule& rule) {
-  state_->engine.SetRetryRule(rule);
+void Placer::SetRules(const BudgetRule& retries, double probes_per_target_s) {
+  state_->engine.SetRules(retries, probes_per_target_s);
 }
 
 void Placer::SetObserver(std::function<void(const Decision&)> observer) {
--- a/src/kingcupshed/placement/placer.h
+++ b/src/kingcupshed/placement/placer.h
@@ -21,6 +21,9 @@
   /// Seed of every random choice.
   std::uint64_t seed = 1;
   BudgetRule retries;
+  /// Probes that all VMs together may send to a target on average; zero for no
+  /// bound.
+  double probes_per_target_s = 0.0;
   /// First guess of the round trip to a target, by distance.
   Duration round_trip[routing::kDistanceCount] = {
       std::chrono::milliseconds(1), std::chrono::milliseconds(4),
@@ -39,6 +42,11 @@
   std::size_t waiting = 0;
   /// Time that the service's work usually takes.
   Duration work{};
+  /// How much longer work takes on a target's last slot.
+  double crowding = 1.0;
+  /// Usual number of calls at a target, and its usual speed.
+  double backlog = 0.0;
+  double speed = 1.0;
 };
 
 /// What is settled about a call when it starts; for logs.
@@ -77,8 +85,8 @@
   /// Sets the number of VMs that share fleet-wide budgets.
   void SetFleetSize(std::size_t vms);
 
-  /// Replaces the rule of the retry budget.
-  void SetRetryRule(const BudgetRule& rule);
+  /// Replaces the rules of the fleet-wide budgets.
+  void SetRules(const BudgetRule& retries, double probes_per_target_s);
 
   /// Sets what is told of each decision; used for logs.
   void SetObserver(std::function<void(const Decision&)> observer);
--- a/src/kingcupshed/placement/target_model.cc
+++ b/src/kingcupshed/placement/target_model.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Time in which a reported slow-down loses its meaning: neighbours on the
-/// target's machine come and go within some hundred milliseconds.
-constexpr Duration kSlowdownMemory = std::chrono::milliseconds(150);
 /// How much longer work takes while a target warms up.
 constexpr double kColdFactor = 2.0;
 constexpr double kFailureGain = 0.35;
@@ -70,12 +67,11 @@
                              Duration work,
                              TimePoint now) const {
   Estimate estimate;
-  double slowdown = service.slowdown();
+  double speed = service.speed();
   double backlog = service.backlog();
   if (report_) {
     estimate.age = now - reported_;
-    const double known = Fade(estimate.age, kSlowdownMemory);
-    slowdown += known * (report_->slowdown - slowdown);
+    speed = service.SpeedAfter(report_->slowdown, estimate.age);
     const auto sent_since = static_cast<double>(
         std::count_if(starts_.begin(), starts_.end(),
                       [this](TimePoint start) { return start > reported_; }));
@@ -84,13 +80,14 @@
     backlog += sent_since;
   }
   backlog = std::max(backlog, static_cast<double>(starts_.size()));
-  const double slots = std::max(1U, facts_.slots);
+  const double slots = service.UsefulSlots(std::max(1U, facts_.slots));
   const double cold = facts_.warm_at > now ? kColdFactor : 1.0;
   const double crowding = backlog + 1.0 >= slots ? service.crowding() : 1.0;
   const double ahead = std::max(0.0, backlog + 1.0 - slots);
-  const double own = ToSeconds(work) * slowdown * cold * crowding;
+  const double own = ToSeconds(work) * cold * crowding;
   estimate.backlog = backlog;
-  estimate.completion = FromSeconds(own * (1.0 + ahead / slots));
+  estimate.completion =
+      service.TimeFor(FromSeconds(own * (1.0 + ahead / slots)), speed);
   return estimate;
 }
 
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -46,6 +47,9 @@
   /// @param address Host and port of the store.
   explicit Store(std::string address) : address_(std::move(address)) {}
 
+  /// Changes the address for calls from now on.
+  void SetAddress(std::string address) { address_ = std::move(address); }
+
   /// Returns the newest record of each key.
   [[nodiscard]] boost::asio::awaitable<KeyedPage> ReadNewest(
       std::string topic) const;
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -187,10 +187,11 @@
 constexpr int kMaxKeyLifetimeMs = 7 * 24 * 3'600'000;
 
 constexpr int kMaxWindowSeconds = 3600;
+constexpr int kMaxProbes = 10'000;
 constexpr int kMaxRetryRatio = 10;
 constexpr int kMaxRetrySlack = 1'000'000;
 
-constexpr std::array<Key, 20> kKeys{{
+constexpr std::array<Key, 21> kKeys{{
     {"vm", &ReadText<&Settings::vm>, true},
     {"zone", &ReadText<&Settings::zone>, true},
     {"zones", &ReadZones, true},
@@ -203,6 +204,8 @@
     {"retry_window_s",
      &ReadSeconds<&Settings::retry_window, kMaxWindowSeconds>, false},
     {"retry_slack", &ReadNumber<&Settings::retry_slack, kMaxRetrySlack>, false},
+    {"probes_per_target_s",
+     &ReadNumber<&Settings::probes_per_target_s, kMaxProbes>, false},
     {"policy", &ReadPolicy, false},
     {"max_vms", &ReadCount<&Settings::max_vms, kMaxVms>, false},
     {"log_level", &ReadLogLevel, false},
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -35,6 +35,9 @@
   Duration retry_window = std::chrono::seconds(10);
   /// Repeated arrivals at a service that the fleet may have besides.
   double retry_slack = 0.0;
+  /// Health checks of a target that all VMs together may send on average; zero
+  /// for no bound.
+  double probes_per_target_s = 0.0;
   /// Routing policy.
   std::string policy = "region_scan";
   /// Largest number of VMs in the fleet.
