Wait for room, keep useful slots, bound probes, and check routes in doubt

Failed try, reverted: speeds that recover during the work (work was learnt as 194 ms where it is 120: a piece of work keeps the speed it starts with). Ruled out: callers' remaining time as a sign of a first refusal within 18 percent; callers differ in patience by 15.

--- a/src/kingcupshed/daemon/placement_metrics.cc
+++ b/src/kingcupshed/daemon/placement_metrics.cc
@@ -42,8 +42,8 @@
           [](const ServiceCounters& counters) { return counters.crowding; }},
     Level{"kingcupshed_target_backlog",
           [](const ServiceCounters& counters) { return counters.backlog; }},
-    Level{"kingcupshed_target_speed",
-          [](const ServiceCounters& counters) { return counters.speed; }}};
+    Level{"kingcupshed_target_slowdown",
+          [](const ServiceCounters& counters) { return counters.slowdown; }}};
 
 }  // namespace
 
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -41,13 +41,26 @@
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
 /// Time after which callers that meet a VM without routes come back.
 constexpr Duration kRetryWithoutRoutes = std::chrono::milliseconds(500);
-/// A caller that has lost less than this of its time has not been refused
-/// before.
-constexpr Duration kFirstTrySlack = std::chrono::milliseconds(5);
+/// Part of the longest time that callers of a route bring with a first try:
+/// they differ in patience, and only one with much less has come back.
+constexpr double kLeastPatience = 0.82;
+/// What callers bring with a first try on average.
+constexpr double kUsualPatience = 0.92;
 constexpr std::size_t kLeastConnections = 4;
 /// Time between two lines of counts for each service.
 constexpr Duration kReportInterval = std::chrono::seconds(10);
 
+/// Estimates how long ago a caller tried first.
+/// @param longest Longest time that callers of the route brought.
+/// @param left Time that the caller still waits.
+Duration EstimateAge(Duration longest, Duration left) {
+  const double whole = ToSeconds(longest);
+  if (ToSeconds(left) >= kLeastPatience * whole) {
+    return Duration::zero();
+  }
+  return FromSeconds(kUsualPatience * whole) - left;
+}
+
 placement::Config PlacementConfig(const settings::Settings& settings) {
   placement::Config config;
   config.seed = std::hash<std::string>{}(settings.vm);
@@ -205,8 +218,7 @@
   if (query.deadline) {
     Duration& first = first_deadlines_[route->name];
     first = std::max(first, *query.deadline);
-    const Duration age = first - *query.deadline;
-    call.age = age > kFirstTrySlack ? age : Duration::zero();
+    call.age = EstimateAge(first, *query.deadline);
   }
   return call;
 }
@@ -334,7 +346,7 @@
            << " work_ms=" << ToMilliseconds(counted.work)
            << " crowding=" << counted.crowding
            << " backlog=" << counted.backlog
-           << " speed=" << counted.speed;
+           << " slowdown=" << counted.slowdown;
       log::Write(log::Severity::kInfo, "placement", line.str());
     }
   }
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -25,6 +25,8 @@
 /// Time between two reads of the targets: within the time in which a leaving
 /// target must get no more work, with room for a failed read.
 constexpr Duration kTargetPace = std::chrono::milliseconds(1000);
+/// Time after the start in which the VM can't tell a slow store from a far one.
+constexpr Duration kStartTime = std::chrono::seconds(3);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
@@ -43,7 +45,8 @@
       store_(store),
       vm_(std::move(vm)),
       hooks_(std::move(hooks)),
-      random_(std::hash<std::string>{}(vm_)) {}
+      random_(std::hash<std::string>{}(vm_)),
+      started_(Now()) {}
 
 void StoreFollower::Start() {
   asio::co_spawn(io_, FollowRoutes(), asio::detached);
@@ -82,22 +85,35 @@
 
 asio::awaitable<void> StoreFollower::FollowRoutes() {
   const std::string topic(platform::kOperatorTopic);
-  std::optional<LogOffset> next;
   for (;;) {
-    const KeyedPage page = co_await Read(topic, next, kLongPoll);
+    const KeyedPage page = co_await Read(topic, routes_next_, kLongPoll);
     if (page.status == StoreStatus::kDone) {
       TakeRoutes(page);
-      next = page.next;
+      routes_next_ = page.next;
       continue;
     }
     if (page.status == StoreStatus::kExpired) {
-      next.reset();
+      routes_next_.reset();
       continue;
     }
     co_await Pause(Backoff());
   }
 }
 
+/// Reads the routes without waiting while a waiting poll can't be relied on.
+asio::awaitable<void> StoreFollower::CheckRoutes() {
+  const bool starting = Now() - started_ < kStartTime;
+  if (!routes_next_ || (!starting && !health_.IsDoubtful(Now()))) {
+    co_return;
+  }
+  const std::string topic(platform::kOperatorTopic);
+  const KeyedPage page =
+      co_await store_.ReadFrom(topic, *routes_next_, Duration::zero());
+  if (page.status == StoreStatus::kDone) {
+    TakeRoutes(page);
+  }
+}
+
 void StoreFollower::TakeRoutes(const KeyedPage& page) {
   for (const platform::KeyedRecord& record : page.records) {
     if (record.key != platform::kRoutesKey || !record.value) {
@@ -123,11 +139,16 @@
   std::optional<LogOffset> next;
   for (;;) {
     const bool whole = !next;
+    const TimePoint asked = Now();
     const KeyedPage page = co_await Read(topic, next, Duration::zero());
     if (page.status == StoreStatus::kDone) {
       catalog_.NoteRead(Now());
+      if (!whole) {
+        health_.NoteAnswer(Now() - asked, Now());
+      }
       TakeTargets(page, whole);
       next = page.next;
+      co_await CheckRoutes();
       co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
                                  ToSeconds(kTargetPace)));
       continue;
@@ -137,6 +158,7 @@
       continue;
     }
     catalog_.NoteOutage(Now());
+    health_.NoteFailure(Now());
     co_await Pause(Backoff());
   }
 }
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "kingcupshed/catalog/store_health.h"
 #include "kingcupshed/catalog/target_catalog.h"
 #include "kingcupshed/core/random.h"
 #include "kingcupshed/platform/store.h"
@@ -49,6 +50,7 @@
 
  private:
   boost::asio::awaitable<void> FollowRoutes();
+  boost::asio::awaitable<void> CheckRoutes();
   boost::asio::awaitable<void> FollowTargets();
   boost::asio::awaitable<void> FollowVms();
   boost::asio::awaitable<void> AdvanceTargets();
@@ -68,7 +70,11 @@
   StoreHooks hooks_;
   Random random_;
   catalog::TargetCatalog catalog_;
+  catalog::StoreHealth health_;
+  TimePoint started_;
   std::optional<TableVersion> version_;
+  /// Offset from which routes are read on.
+  std::optional<LogOffset> routes_next_;
   std::set<std::string> vms_;
   bool knows_targets_ = false;
 };
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -394,7 +394,7 @@
     out.work = service.model.work(Duration::zero());
     out.crowding = service.model.crowding();
     out.backlog = service.model.backlog();
-    out.speed = service.model.speed();
+    out.slowdown = service.model.slowdown();
   }
   return counters;
 }
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -17,6 +17,8 @@
 constexpr Duration kFresh = std::chrono::milliseconds(10);
 /// Targets probed in each round, nearest first.
 constexpr std::array<std::size_t, 3> kProbesOfRound{3, 4, 3};
+/// Targets probed in each further search of a call that waits for room.
+constexpr std::size_t kProbesOfRepeat = 2;
 /// The last round asks the targets of other regions.
 constexpr std::uint32_t kRemoteRound = 2;
 /// Wait for probes beyond twice the round trip.
@@ -28,9 +30,6 @@
 constexpr double kSpread = 1.15;
 /// Time between two searches of a call that waits for room.
 constexpr Duration kSearchInterval = std::chrono::milliseconds(12);
-/// Part of the objective for which a call waits for room. Callers that are
-/// refused sooner can still be served in time when they come back.
-constexpr int kWaitDivisor = 8;
 /// Time by which a target of another zone or region has to be faster, since
 /// answers from there cost bytes on shared links.
 constexpr std::array<Duration, routing::kDistanceCount> kDistanceCost{
@@ -136,7 +135,8 @@
             [](const Candidate& a, const Candidate& b) {
               return a.cost < b.cost;
             });
-  std::size_t most = kProbesOfRound[call.round];
+  std::size_t most =
+      call.searches > 1 ? kProbesOfRepeat : kProbesOfRound[call.round];
   if (config_.probes_per_target_s > 0.0) {
     probe_tokens_.Advance(now_);
     most = std::min(most, static_cast<std::size_t>(
@@ -246,7 +246,8 @@
     Start(call, *best, call.hedging ? "hedge" : "in time");
     return;
   }
-  if (NeedsProbes(call) && call.round + 1 < kProbesOfRound.size()) {
+  if (NeedsProbes(call) && call.searches == 1 &&
+      call.round + 1 < kProbesOfRound.size()) {
     ++call.round;
     const bool far = call.round == kRemoteRound;
     const Duration trip = config_.round_trip[static_cast<std::size_t>(
@@ -299,8 +300,7 @@
     // It is not asked to come back once more.
     return can_make_it || waited < LeftToDeadline(call) / kLateWaitDivisor;
   }
-  const Duration given = call.request.objective - call.arrived;
-  return can_make_it && waited < given / kWaitDivisor;
+  return can_make_it;
 }
 
 void Engine::WaitForRoom(Call& call) {
--- a/src/kingcupshed/placement/placer.h
+++ b/src/kingcupshed/placement/placer.h
@@ -44,9 +44,9 @@
   Duration work{};
   /// How much longer work takes on a target's last slot.
   double crowding = 1.0;
-  /// Usual number of calls at a target, and its usual speed.
+  /// Usual number of calls at a target, and its usual slow-down.
   double backlog = 0.0;
-  double speed = 1.0;
+  double slowdown = 1.0;
 };
 
 /// What is settled about a call when it starts; for logs.
--- a/src/kingcupshed/placement/service_model.cc
+++ b/src/kingcupshed/placement/service_model.cc
@@ -10,46 +10,43 @@
 constexpr double kWorkGain = 0.05;
 constexpr double kCrowdingGain = 0.03;
 constexpr double kLoadGain = 0.02;
-/// Samples beyond this multiple of the usual work speak of the target, not of
-/// the service.
-constexpr double kOutlier = 4.0;
+/// A sample counts as at most this multiple of the usual work, and at least as
+/// its inverse.
+constexpr double kOutlier = 2.5;
 constexpr double kMostCrowding = 3.0;
 /// Time in which a reported slow-down loses its meaning: neighbours on the
 /// target's machine come and go within some hundred milliseconds.
-constexpr double kSpeedMemoryS = 0.15;
-/// Enough steps for a tenth of a millisecond in a second.
-constexpr int kBisections = 14;
+constexpr Duration kSlowdownMemory = std::chrono::milliseconds(150);
+/// Work that starts on a slowed machine shows little of its usual time.
+constexpr double kMostSlowdownLearnt = 1.5;
 
 }  // namespace
 
-double ServiceModel::WorkDone(double time_s, double speed) const noexcept {
-  return speed_ * time_s + (speed - speed_) * kSpeedMemoryS *
-                               (1.0 - std::exp(-time_s / kSpeedMemoryS));
-}
-
 void ServiceModel::Learn(Duration held,
                          double slowdown,
                          bool crowded) noexcept {
-  const double sample =
-      WorkDone(ToSeconds(held), 1.0 / std::max(1.0, slowdown));
-  if (work_s_ <= 0.0) {
-    work_s_ = sample;
+  if (slowdown > kMostSlowdownLearnt) {
     return;
   }
-  if (sample > kOutlier * work_s_) {
+  const double sample = ToSeconds(held) / std::max(1.0, slowdown);
+  if (work_s_ <= 0.0) {
+    work_s_ = sample;
     return;
   }
+  const double ratio = sample / work_s_;
   if (crowded) {
-    const double ratio = std::min(sample / work_s_, kMostCrowding);
-    crowding_ += kCrowdingGain * (ratio - crowding_);
+    crowding_ += kCrowdingGain *
+                 (std::clamp(ratio, 1.0 / kMostCrowding, kMostCrowding) -
+                  crowding_);
     return;
   }
-  work_s_ += kWorkGain * (sample - work_s_);
+  // One sample says little: failures are quick, and stalls are long.
+  work_s_ *= 1.0 + kWorkGain * (std::clamp(ratio, 1.0 / kOutlier, kOutlier) - 1.0);
 }
 
 void ServiceModel::LearnLoad(double backlog, double slowdown) noexcept {
   backlog_ += kLoadGain * (backlog - backlog_);
-  speed_ += kLoadGain * (1.0 / std::max(1.0, slowdown) - speed_);
+  slowdown_ += kLoadGain * (slowdown - slowdown_);
 }
 
 double ServiceModel::UsefulSlots(double slots) const noexcept {
@@ -61,24 +58,10 @@
   return work_s_ > 0.0 ? FromSeconds(work_s_) : fallback;
 }
 
-double ServiceModel::SpeedAfter(double slowdown, Duration age) const noexcept {
-  const double known = std::exp(-ToSeconds(age) / kSpeedMemoryS);
-  return speed_ + known * (1.0 / std::max(1.0, slowdown) - speed_);
-}
-
-Duration ServiceModel::TimeFor(Duration work, double speed) const noexcept {
-  const double wanted = ToSeconds(work);
-  double shortest = wanted;
-  double longest = wanted / std::max(0.01, std::min(speed, speed_));
-  for (int step = 0; step < kBisections; ++step) {
-    const double middle = (shortest + longest) / 2.0;
-    if (WorkDone(middle, speed) < wanted) {
-      shortest = middle;
-    } else {
-      longest = middle;
-    }
-  }
-  return FromSeconds(longest);
+double ServiceModel::SlowdownAfter(double reported,
+                                   Duration age) const noexcept {
+  const double known = std::exp(-ToSeconds(age) / ToSeconds(kSlowdownMemory));
+  return slowdown_ + known * (reported - slowdown_);
 }
 
 }  // namespace kingcupshed::placement
--- a/src/kingcupshed/placement/service_model.h
+++ b/src/kingcupshed/placement/service_model.h
@@ -7,9 +7,8 @@
 /// What was learned of the work of one service, over all of its targets.
 ///
 /// Targets share their machines with others and slow down and recover within
-/// some hundred milliseconds. Work goes on at whatever speed the machine has at
-/// each moment, so a slow-down that was reported tells of the start of the work
-/// and less and less of what follows.
+/// some hundred milliseconds; a piece of work takes as long as the machine's
+/// slow-down at its start says.
 class ServiceModel {
  public:
   /// Takes the time that one piece of work took.
@@ -25,15 +24,11 @@
   /// @param fallback Returned before anything is known.
   [[nodiscard]] Duration work(Duration fallback) const noexcept;
 
-  /// Returns how long work takes that starts on a machine at a given speed.
-  /// @param work Time that it takes at full speed.
-  /// @param speed Speed at the start, one at most.
-  [[nodiscard]] Duration TimeFor(Duration work, double speed) const noexcept;
-
-  /// Returns the speed to expect of a machine.
-  /// @param slowdown Slow-down that was reported.
+  /// Returns the slow-down to expect of a target.
+  /// @param reported Slow-down that was reported.
   /// @param age Time since the report.
-  [[nodiscard]] double SpeedAfter(double slowdown, Duration age) const noexcept;
+  [[nodiscard]] double SlowdownAfter(double reported,
+                                     Duration age) const noexcept;
 
   /// Returns how much longer work takes on a target's last slot.
   [[nodiscard]] double crowding() const noexcept { return crowding_; }
@@ -45,16 +40,14 @@
   /// Returns the usual number of calls at a target.
   [[nodiscard]] double backlog() const noexcept { return backlog_; }
 
-  /// Returns the usual speed of a target, one at most.
-  [[nodiscard]] double speed() const noexcept { return speed_; }
+  /// Returns the usual slow-down of a target.
+  [[nodiscard]] double slowdown() const noexcept { return slowdown_; }
 
  private:
-  [[nodiscard]] double WorkDone(double time_s, double speed) const noexcept;
-
   double work_s_ = 0.0;
   double crowding_ = 1.0;
   double backlog_ = 1.0;
-  double speed_ = 1.0;
+  double slowdown_ = 1.0;
 };
 
 }  // namespace kingcupshed::placement
--- a/src/kingcupshed/placement/target_model.cc
+++ b/src/kingcupshed/placement/target_model.cc
@@ -67,11 +67,11 @@
                              Duration work,
                              TimePoint now) const {
   Estimate estimate;
-  double speed = service.speed();
+  double slowdown = service.slowdown();
   double backlog = service.backlog();
   if (report_) {
     estimate.age = now - reported_;
-    speed = service.SpeedAfter(report_->slowdown, estimate.age);
+    slowdown = service.SlowdownAfter(report_->slowdown, estimate.age);
     const auto sent_since = static_cast<double>(
         std::count_if(starts_.begin(), starts_.end(),
                       [this](TimePoint start) { return start > reported_; }));
@@ -84,10 +84,9 @@
   const double cold = facts_.warm_at > now ? kColdFactor : 1.0;
   const double crowding = backlog + 1.0 >= slots ? service.crowding() : 1.0;
   const double ahead = std::max(0.0, backlog + 1.0 - slots);
-  const double own = ToSeconds(work) * cold * crowding;
+  const double own = ToSeconds(work) * slowdown * cold * crowding;
   estimate.backlog = backlog;
-  estimate.completion =
-      service.TimeFor(FromSeconds(own * (1.0 + ahead / slots)), speed);
+  estimate.completion = FromSeconds(own * (1.0 + ahead / slots));
   return estimate;
 }
 
