Learn work by route, log each decision as an event, spare the last slot when busy

Work is learnt by route now. Events go to standard output as JSON lines, bounded and never waiting; kingcupshed timeline reads them.

--- a/src/kingcupshed/core/ids.h
+++ b/src/kingcupshed/core/ids.h
@@ -13,6 +13,8 @@
 enum class TargetId : std::uint32_t {};
 /// A service of the table, interned per process.
 enum class ServiceId : std::uint32_t {};
+/// A route of the operators, interned per process.
+enum class RouteId : std::uint32_t {};
 /// A balancing VM, interned per process.
 enum class VmId : std::uint32_t {};
 /// An availability zone, interned per process.
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/daemon/event_log.h"
 #include "kingcupshed/daemon/placement_metrics.h"
 #include "kingcupshed/daemon/runtime.h"
 #include "kingcupshed/daemon/settings_watch.h"
@@ -76,6 +77,7 @@
   RoutedVm(const settings::Settings& settings, const std::string& file)
       : settings_(settings),
         runtime_(settings_),
+        events_(runtime_),
         store_(settings.store),
         placer_(PlacementConfig(settings)),
         driver_(runtime_.io, placer_),
@@ -112,15 +114,16 @@
 
   settings::Settings settings_;
   Runtime runtime_;
+  EventLog events_;
   platform::Store store_;
   placement::Placer placer_;
   http::DispatchDriver driver_;
   StoreFollower follower_;
   std::optional<route::RouteIndex> routes_;
   std::map<TargetId, catalog::TargetReport> targets_;
-  /// Longest time that callers of a route brought, by its name: the time of
-  /// their first tries.
-  std::map<std::string, Duration> first_deadlines_;
+  Names<RouteId> route_names_;
+  /// Longest time that callers of a route brought.
+  std::map<RouteId, Duration> longest_times_;
   std::size_t vms_ = 1;
   http::Server server_;
   http::Server pages_;
@@ -161,6 +164,9 @@
   context.session_limits = [this] { return Limits(); };
   context.hold_bytes = kHoldBytes;
   context.connect_timeout = kConnectTimeout;
+  context.on_named = [this](CallId call, const std::string& name) {
+    events_.NameCall(call, name);
+  };
   return context;
 }
 
@@ -209,6 +215,7 @@
   http::RoutedCall call;
   call.service_name = route::DrawPart(*route, random_).service;
   call.service = runtime_.services.Intern(call.service_name);
+  call.route = route_names_.Intern(route->name);
   call.rank = route->rank;
   call.semantics = route->semantics;
   call.bulk = route->bulk;
@@ -216,9 +223,9 @@
   call.objective = route->objective;
   call.max_attempts = route->max_attempts;
   if (query.deadline) {
-    Duration& first = first_deadlines_[route->name];
-    first = std::max(first, *query.deadline);
-    call.age = EstimateAge(first, *query.deadline);
+    Duration& longest = longest_times_[call.route];
+    longest = std::max(longest, *query.deadline);
+    call.age = EstimateAge(longest, *query.deadline);
   }
   return call;
 }
@@ -232,6 +239,7 @@
                "Changed addresses take effect with the next start.");
   }
   settings_ = changed;
+  events_.Note("settings", "settings_in_force", "changed file");
   store_.SetAddress(changed.store);
   const placement::Config config = PlacementConfig(changed);
   placer_.SetRules(config.retries, config.probes_per_target_s);
@@ -245,8 +253,7 @@
     placer_.SetFirstRank(runtime_.services.Intern(row.name),
                          routes_->FirstRank(row.name));
   }
-  log::Write(log::Severity::kInfo, kPart,
-             "Routes of version " + version + " are in force.");
+  events_.Note("routes", "routes_in_force", "version " + version);
 }
 
 routing::Distance RoutedVm::DistanceOf(const std::string& zone) const {
@@ -338,7 +345,7 @@
         continue;
       }
       std::ostringstream line;
-      line << "counts service=" << runtime_.services.NameOf(service)
+      line << "service=" << runtime_.services.NameOf(service)
            << " arrived=" << counted.arrived << " started=" << counted.started
            << " answered=" << counted.answered
            << " refused=" << counted.refused << " repeats=" << counted.repeats
@@ -347,13 +354,15 @@
            << " crowding=" << counted.crowding
            << " backlog=" << counted.backlog
            << " slowdown=" << counted.slowdown;
-      log::Write(log::Severity::kInfo, "placement", line.str());
+      events_.Note("placement", "counts", line.str());
     }
+    events_.ReportLeftOut();
   }
 }
 
 asio::awaitable<void> RoutedVm::StopGracefully() {
-  co_await stop_driver_.Run([] {});
+  co_await stop_driver_.Run([this] { events_.Note("vm", "stopping", ""); });
+  events_.Note("vm", "stopped", "");
   runtime_.io.stop();
 }
 
@@ -369,14 +378,15 @@
       return 1;
     }
   }
+  placer_.SetObserver([this](const placement::Decision& decision) {
+    events_.Note(decision);
+  });
   driver_.SetProbe([this](TargetId target) { Probe(target); });
   follower_.Start();
   settings_watch_.Start();
   asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
   asio::co_spawn(runtime_.io, ReportRegularly(), asio::detached);
-  log::Write(log::Severity::kInfo, kPart,
-             "VM " + settings.vm + " serves callers at " + settings.listen +
-                 ".");
+  events_.Note("vm", "started", "serves callers at " + settings.listen);
   runtime_.io.run();
   return 0;
 }
--- a/src/kingcupshed/dispatch/events.h
+++ b/src/kingcupshed/dispatch/events.h
@@ -21,6 +21,8 @@
   table::Semantics semantics = table::Semantics::kIdempotent;
   /// True when the whole request is held in memory and can be sent again.
   bool replayable = false;
+  /// Route that the call took; calls of one route are alike.
+  RouteId route{};
   /// Instant up to which an answer has its full value; none when unset.
   TimePoint objective = TimePoint::max();
   /// Most targets that the call may be sent to; zero for the dispatcher's own
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -200,6 +200,7 @@
     limit = std::min(limit, *query.deadline - kWayBack);
   }
   outgoing_.deadline = now + limit;
+  arrival_.route = routed.route;
   arrival_.objective = now + routed.objective - routed.age;
   arrival_.max_attempts = routed.max_attempts;
   arrival_.bulk = routed.bulk;
@@ -326,6 +327,9 @@
 
 asio::awaitable<bool> Call::RunRace() {
   race_ = MakeRace();
+  if (server_.context.on_named) {
+    server_.context.on_named(race_->call(), outgoing_.call);
+  }
   Attempt* winner = co_await race_->Run(Arrival());
   if (winner != nullptr) {
     co_return co_await PassOn(*winner);
--- a/src/kingcupshed/http/internal/race.cc
+++ b/src/kingcupshed/http/internal/race.cc
@@ -18,7 +18,9 @@
       context_(std::move(context)),
       request_(request),
       wake_(executor),
-      deadline_(executor) {}
+      deadline_(executor),
+      call_(context_.driver.Open(*this)),
+      open_(true) {}
 
 Race::~Race() {
   Finish(AttemptResult::kLost);
@@ -62,8 +64,6 @@
 }
 
 asio::awaitable<Attempt*> Race::Run(dispatch::CallArrived arrived) {
-  call_ = context_.driver.Open(*this);
-  open_ = true;
   arrived.call = call_;
   ++running_;
   deadline_.expires_at(request_.deadline);
--- a/src/kingcupshed/http/internal/race.h
+++ b/src/kingcupshed/http/internal/race.h
@@ -103,8 +103,8 @@
   asio::steady_timer wake_;
   asio::steady_timer deadline_;
   std::size_t running_ = 0;
-  CallId call_{};
-  bool open_ = false;
+  CallId call_;
+  bool open_;
   bool caller_left_ = false;
   bool told_dispatcher_ = false;
   Attempt* winner_ = nullptr;
--- a/src/kingcupshed/http/routed_call.h
+++ b/src/kingcupshed/http/routed_call.h
@@ -18,6 +18,7 @@
 /// What the routes in force say of one call.
 struct RoutedCall {
   ServiceId service{};
+  RouteId route{};
   std::string service_name;
   Rank rank = Rank::kStandard;
   table::Semantics semantics = table::Semantics::kAtMostOnce;
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -233,8 +233,8 @@
       target.Succeeded(now_);
       const Duration work = held - RoundTrip(target);
       if (attempt.slowdown > 0.0 && !attempt.waited && work > Duration::zero()) {
-        services_[call.request.service].model.Learn(work, attempt.slowdown,
-                                                    attempt.crowded);
+        services_[call.request.service].model.Learn(
+            call.request.route, work, attempt.slowdown, attempt.crowded);
       }
       return;
     }
@@ -328,15 +328,39 @@
 
 void Engine::Refuse(Call& call, RefuseReason reason, Duration retry_after) {
   ++ServiceOf(call).counters.refused;
-  if (observer_) {
-    observer_({call.request.call, std::nullopt, Duration::zero(),
-               Duration::zero(), 0.0, "refused"});
-  }
+  Tell(call, nullptr, "refused");
   actions_.emplace_back(
       dispatch::RefuseCall{call.request.call, reason, retry_after});
   Finish(call);
 }
 
+/// Tells the observer of a decision.
+/// @param candidate Target that the call goes to; null when it is refused.
+void Engine::Tell(const Call& call,
+                  const Candidate* candidate,
+                  const char* why) const {
+  if (!observer_) {
+    return;
+  }
+  Decision decision;
+  decision.call = call.request.call;
+  decision.service = call.request.service;
+  decision.why = why;
+  decision.waited = now_ - call.arrived;
+  decision.objective_left = call.request.objective - now_;
+  decision.tries = call.tries.size();
+  decision.searches = call.searches;
+  if (candidate != nullptr) {
+    decision.target = candidate->target->facts().id;
+    decision.expected = candidate->expected;
+    decision.backlog = candidate->estimate.backlog;
+    decision.report_age = candidate->estimate.age;
+    decision.slowdown =
+        candidate->target->report() ? candidate->target->report()->slowdown : 0;
+  }
+  observer_(decision);
+}
+
 void Engine::Finish(Call& call) {
   ServiceOf(call).waiting.erase(call.request.call);
   call.done = true;
@@ -370,7 +394,7 @@
   const Duration guess =
       std::max<Duration>(std::chrono::milliseconds(1), given / kObjectiveDivisor);
   const auto found = services_.find(call.request.service);
-  return found == services_.end() ? guess : found->second.model.work(guess);
+  return found == services_.end() ? guess : found->second.model.work(call.request.route, guess);
 }
 
 Duration Engine::LeftToObjective(const Call& call) const {
@@ -391,7 +415,7 @@
     ServiceCounters& out = counters[id];
     out = service.counters;
     out.waiting = service.waiting.size();
-    out.work = service.model.work(Duration::zero());
+    out.work = service.model.longest_work();
     out.crowding = service.model.crowding();
     out.backlog = service.model.backlog();
     out.slowdown = service.model.slowdown();
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -46,6 +46,8 @@
 constexpr double kCostNoise = 0.1;
 /// Random part of the costs by which targets are chosen for probes.
 constexpr double kProbeNoise = 0.6;
+/// Part of a service's useful slots from which it counts as busy.
+constexpr double kBusyPart = 0.75;
 /// Slots that calls leave free at targets of a service that is used by more
 /// urgent ones.
 constexpr double kSlotsLeftFree = 1.0;
@@ -210,12 +212,14 @@
   return slots - candidate.estimate.backlog >= needed;
 }
 
-/// Tells whether one more call would slow a target more than it adds.
+/// Tells whether one more call would slow a target more than it adds, while
+/// most of the service's useful slots are taken.
 bool Engine::IsCrowded(const Call& call, const Candidate& candidate) const {
   const auto service = services_.find(call.request.service);
   const double slots = candidate.target->facts().slots;
   const double useful = service->second.model.UsefulSlots(slots);
-  return useful < slots && !HasRoom(call, candidate, 0.0);
+  return useful < slots && !HasRoom(call, candidate, 0.0) &&
+         service->second.model.backlog() > kBusyPart * useful;
 }
 
 void Engine::Decide(Call& call) {
@@ -351,10 +355,7 @@
   const AttemptId id{static_cast<std::uint32_t>(call.tries.size())};
   call.tries.push_back(attempt);
   target.Start(now_);
-  if (observer_) {
-    observer_({call.request.call, attempt.target, candidate.expected,
-               candidate.estimate.age, candidate.estimate.backlog, why});
-  }
+  Tell(call, &candidate, why);
   actions_.emplace_back(dispatch::StartAttempt{call.request.call, id,
                                                attempt.target, call.hedging});
   if (call.hedging) {
--- a/src/kingcupshed/placement/internal/state.h
+++ b/src/kingcupshed/placement/internal/state.h
@@ -142,6 +142,7 @@
   void Refuse(Call& call, dispatch::RefuseReason reason, Duration retry_after);
   void Finish(Call& call);
   void SetWake(Call& call, TimePoint wake);
+  void Tell(const Call& call, const Candidate* candidate, const char* why) const;
 
   [[nodiscard]] Service& ServiceOf(const Call& call);
   [[nodiscard]] Duration WorkOf(const Call& call) const;
--- a/src/kingcupshed/placement/placer.h
+++ b/src/kingcupshed/placement/placer.h
@@ -40,7 +40,7 @@
   std::uint64_t probes = 0;
   /// Calls that wait now for a target.
   std::size_t waiting = 0;
-  /// Time that the service's work usually takes.
+  /// Time that the service's longest kind of work usually takes.
   Duration work{};
   /// How much longer work takes on a target's last slot.
   double crowding = 1.0;
@@ -49,17 +49,28 @@
   double slowdown = 1.0;
 };
 
-/// What is settled about a call when it starts; for logs.
+/// What was decided about a call, and from what; for logs.
 struct Decision {
   CallId call{};
+  ServiceId service{};
+  /// Nothing when the call was refused.
   std::optional<TargetId> target;
+  /// Fixed words for the reason.
+  const char* why = "";
+  /// Time that the call was in this VM.
+  Duration waited{};
+  /// Time left to its objective; negative when it is past.
+  Duration objective_left{};
   /// What was expected of the target, with the round trip.
   Duration expected{};
-  /// Age of the load report that decided.
-  Duration report_age{};
+  /// Calls believed to be at the target.
   double backlog = 0.0;
-  /// Fixed word for the reason of the choice.
-  const char* why = "";
+  /// Slow-down in the target's newest report, and the age of the report.
+  double slowdown = 0.0;
+  Duration report_age{};
+  /// Tries before this one, and searches for a target.
+  std::size_t tries = 0;
+  std::uint32_t searches = 0;
 };
 
 /// Places each call on the target that will be done with it first.
--- a/src/kingcupshed/placement/service_model.cc
+++ b/src/kingcupshed/placement/service_model.cc
@@ -22,18 +22,19 @@
 
 }  // namespace
 
-void ServiceModel::Learn(Duration held,
+void ServiceModel::Learn(RouteId route,
+                         Duration held,
                          double slowdown,
-                         bool crowded) noexcept {
+                         bool crowded) {
   if (slowdown > kMostSlowdownLearnt) {
     return;
   }
   const double sample = ToSeconds(held) / std::max(1.0, slowdown);
-  if (work_s_ <= 0.0) {
-    work_s_ = sample;
+  const auto [work, first] = work_s_.try_emplace(route, sample);
+  if (first) {
     return;
   }
-  const double ratio = sample / work_s_;
+  const double ratio = sample / work->second;
   if (crowded) {
     crowding_ += kCrowdingGain *
                  (std::clamp(ratio, 1.0 / kMostCrowding, kMostCrowding) -
@@ -41,7 +42,8 @@
     return;
   }
   // One sample says little: failures are quick, and stalls are long.
-  work_s_ *= 1.0 + kWorkGain * (std::clamp(ratio, 1.0 / kOutlier, kOutlier) - 1.0);
+  work->second *=
+      1.0 + kWorkGain * (std::clamp(ratio, 1.0 / kOutlier, kOutlier) - 1.0);
 }
 
 void ServiceModel::LearnLoad(double backlog, double slowdown) noexcept {
@@ -54,8 +56,17 @@
                                                            : slots;
 }
 
-Duration ServiceModel::work(Duration fallback) const noexcept {
-  return work_s_ > 0.0 ? FromSeconds(work_s_) : fallback;
+Duration ServiceModel::work(RouteId route, Duration fallback) const {
+  const auto found = work_s_.find(route);
+  return found == work_s_.end() ? fallback : FromSeconds(found->second);
+}
+
+Duration ServiceModel::longest_work() const {
+  double longest = 0.0;
+  for (const auto& [route, work] : work_s_) {
+    longest = std::max(longest, work);
+  }
+  return FromSeconds(longest);
 }
 
 double ServiceModel::SlowdownAfter(double reported,
--- a/src/kingcupshed/placement/service_model.h
+++ b/src/kingcupshed/placement/service_model.h
@@ -1,11 +1,17 @@
 #pragma once
 
+#include <map>
+
+#include "kingcupshed/core/ids.h"
 #include "kingcupshed/core/time.h"
 
 namespace kingcupshed::placement {
 
 /// What was learned of the work of one service, over all of its targets.
 ///
+/// Calls of one route are alike; those of different routes may take a very
+/// different time at the same targets.
+///
 /// Targets share their machines with others and slow down and recover within
 /// some hundred milliseconds; a piece of work takes as long as the machine's
 /// slow-down at its start says.
@@ -15,14 +21,17 @@
   /// @param held Time from sending to the answer, without the round trip.
   /// @param slowdown Slow-down of the target when the work was sent.
   /// @param crowded True when the work took the target's last slot.
-  void Learn(Duration held, double slowdown, bool crowded) noexcept;
+  void Learn(RouteId route, Duration held, double slowdown, bool crowded);
 
   /// Takes the load of a target as one sample of the usual load.
   void LearnLoad(double backlog, double slowdown) noexcept;
 
-  /// Returns the time that work takes on an unhurried target.
+  /// Returns the time that work of a route takes on an unhurried target.
   /// @param fallback Returned before anything is known.
-  [[nodiscard]] Duration work(Duration fallback) const noexcept;
+  [[nodiscard]] Duration work(RouteId route, Duration fallback) const;
+
+  /// Returns the longest time that work of any route takes.
+  [[nodiscard]] Duration longest_work() const;
 
   /// Returns the slow-down to expect of a target.
   /// @param reported Slow-down that was reported.
@@ -44,7 +53,7 @@
   [[nodiscard]] double slowdown() const noexcept { return slowdown_; }
 
  private:
-  double work_s_ = 0.0;
+  std::map<RouteId, double> work_s_;
   double crowding_ = 1.0;
   double backlog_ = 1.0;
   double slowdown_ = 1.0;
--- a/src/kingcupshed/timeline/line.cc
+++ b/src/kingcupshed/timeline/line.cc
@@ -88,7 +88,9 @@
     if (row.empty()) {
       continue;
     }
-    if (auto event = ParseJsonLine(row)) {
+    // Log shippers put fields of their own before each line.
+    const std::size_t start = std::min(row.find('{'), row.size());
+    if (auto event = ParseJsonLine(row.substr(start))) {
       line.events.push_back(*std::move(event));
     } else {
       line.faults.push_back(
