--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -15,6 +15,8 @@
 /// A report of this age needs no probe: less changes at a target meanwhile than
 /// by one call.
 constexpr Duration kFresh = std::chrono::milliseconds(10);
+/// A report of this age still says more than what is usual.
+constexpr Duration kKnown = std::chrono::milliseconds(50);
 /// Targets probed in each round, nearest first.
 constexpr std::array<std::size_t, 3> kProbesOfRound{3, 4, 3};
 /// Targets probed in each further search of a call that waits for room.
@@ -222,10 +224,24 @@
          service->second.model.backlog() > kBusyPart * useful;
 }
 
+/// Drops the candidates that no fresh report speaks for, unless there are no
+/// others: a guess looks better than a report that shows trouble.
+void Engine::KeepKnown(std::vector<Candidate>& candidates) const {
+  const auto unknown = [](const Candidate& candidate) {
+    return candidate.estimate.age > kKnown;
+  };
+  if (!std::all_of(candidates.begin(), candidates.end(), unknown)) {
+    std::erase_if(candidates, unknown);
+  }
+}
+
 void Engine::Decide(Call& call) {
   call.wait = Wait::kNothing;
   SetWake(call, TimePoint::max());
   std::vector<Candidate> candidates = FindCandidates(call);
+  if (NeedsProbes(call)) {
+    KeepKnown(candidates);
+  }
   const Candidate* best = nullptr;
   for (Candidate& candidate : candidates) {
     candidate.cost =
--- a/src/kingcupshed/placement/internal/state.h
+++ b/src/kingcupshed/placement/internal/state.h
@@ -117,6 +117,7 @@
   void SettleProbe(TargetId target);
   [[nodiscard]] bool NeedsProbes(const Call& call) const;
   [[nodiscard]] std::vector<Candidate> FindCandidates(const Call& call);
+  void KeepKnown(std::vector<Candidate>& candidates) const;
   [[nodiscard]] bool IsInTime(const Call& call,
                               const Candidate& candidate) const;
   [[nodiscard]] bool HasRoom(const Call& call,
--- /dev/null
+++ b/test/kingcupshed/placement/retry_budget.cc
@@ -0,0 +1,98 @@
+#include "kingcupshed/placement/retry_budget.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+namespace kingcupshed::placement {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(1000)};
+constexpr BudgetRule kRule{0.2, seconds(10), 60.0};
+
+RetryBudget MakeBudget(std::size_t vms) {
+  RetryBudget budget;
+  budget.Configure(kRule, vms);
+  return budget;
+}
+
+int SpendAll(RetryBudget& budget, TimePoint now) {
+  int spent = 0;
+  while (budget.TrySpend(now, 0.0)) {
+    ++spent;
+  }
+  return spent;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(Budget)
+
+BOOST_AUTO_TEST_CASE(AllowsAPartOfTheSlackWithoutCalls) {
+  RetryBudget budget = MakeBudget(4);
+  BOOST_TEST(SpendAll(budget, kStart) == 13);  // 0.9 x 60 / 4
+}
+
+BOOST_AUTO_TEST_CASE(AllowsAShareOfTheCalls) {
+  RetryBudget budget = MakeBudget(1000);
+  for (int call = 0; call < 100; ++call) {
+    budget.NoteCall(kStart);
+  }
+  BOOST_TEST(SpendAll(budget, kStart) == 18);  // 0.9 x 0.2 x 100
+}
+
+BOOST_AUTO_TEST_CASE(NeverExceedsTheRuleInAnyWindow) {
+  RetryBudget budget = MakeBudget(1);
+  std::vector<TimePoint> calls;
+  std::vector<TimePoint> repeats;
+  for (int step = 0; step < 600; ++step) {
+    const TimePoint now = kStart + step * milliseconds(100);
+    const int load = step % 150 < 20 ? 30 : 2;
+    for (int call = 0; call < load; ++call) {
+      budget.NoteCall(now);
+      calls.push_back(now);
+    }
+    while (budget.TrySpend(now, 0.0)) {
+      repeats.push_back(now);
+    }
+  }
+  const auto count = [](const std::vector<TimePoint>& times, TimePoint from,
+                        TimePoint to) {
+    return static_cast<double>(
+        std::count_if(times.begin(), times.end(), [&](TimePoint time) {
+          return time >= from && time < to;
+        }));
+  };
+  for (int step = 0; step < 500; ++step) {
+    const TimePoint from = kStart + step * milliseconds(100);
+    const TimePoint to = from + kRule.window;
+    const double requests =
+        std::max({count(calls, from, to),
+                  count(calls, from - kRule.window, from),
+                  count(calls, from - kRule.window / 2,
+                        to - kRule.window / 2)});
+    BOOST_TEST(count(repeats, from, to) <=
+               kRule.ratio * requests + kRule.slack);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LeavesAReserve) {
+  RetryBudget budget = MakeBudget(20);
+  BOOST_TEST(!budget.TrySpend(kStart, 2.0));
+  BOOST_TEST(budget.TrySpend(kStart, 0.0));
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsAfterThePause) {
+  RetryBudget budget = MakeBudget(4);
+  SpendAll(budget, kStart);
+  BOOST_TEST(SpendAll(budget, kStart + seconds(60)) == 13);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kingcupshed::placement
--- /dev/null
+++ b/test/support/routed_rig.h
@@ -0,0 +1,304 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <unistd.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "kingcupshed/http/dispatch_driver.h"
+#include "kingcupshed/http/server.h"
+#include "kingcupshed/placement/placer.h"
+#include "kingcupshed/platform/dialect.h"
+#include "kingcupshed/timeline/recorder.h"
+
+namespace kingcupshed::support {
+
+namespace asio = boost::asio;
+
+/// What a scripted target does with one request.
+struct ScriptedAnswer {
+  /// Bytes sent; `{id}` stands for the request's id.
+  std::string bytes;
+  /// True to close the connection after them.
+  bool close = false;
+  /// True to reset it.
+  bool reset = false;
+};
+
+/// A server that routes by path, with targets that answer by script.
+///
+/// `/read/` is idempotent and `/write/` at-most-once. Both go to all targets.
+class RoutedRig {
+ public:
+  explicit RoutedRig(std::size_t targets)
+      : prefix_(NextPrefix()),
+        recorder_("vm", 64),
+        placer_(MakeConfig()),
+        driver_(io_, placer_) {
+    for (std::size_t at = 0; at < targets; ++at) {
+      AddTarget(at);
+    }
+    placer_.SetTargets(facts_);
+    server_.emplace(io_, MakeContext());
+    driver_.SetProbe([this](TargetId target) {
+      server_->Probe({target, "/health", std::chrono::seconds(1)},
+                     [this, target](const http::ProbeOutcome& outcome) {
+                       if (outcome.load) {
+                         driver_.Post(dispatch::LoadReported{
+                             target, *outcome.load, outcome.round_trip});
+                       } else {
+                         driver_.Post(dispatch::ProbeFailed{target});
+                       }
+                     });
+    });
+    if (!server_->Listen(prefix_ + ".1:8080")) {
+      throw std::runtime_error("the address is in use");
+    }
+  }
+  RoutedRig(const RoutedRig&) = delete;
+  RoutedRig& operator=(const RoutedRig&) = delete;
+
+  /// Adds what the next request to any target is answered with; requests
+  /// beyond the script get a sound answer.
+  void Script(ScriptedAnswer answer) { script_.push_back(std::move(answer)); }
+
+  /// Sends bytes on a new connection and returns what comes back until it is
+  /// closed. Requests should ask for that.
+  std::string Exchange(std::string bytes) {
+    std::string answer;
+    bool done = false;
+    asio::co_spawn(io_, Talk(std::move(bytes), answer),
+                   [&](const std::exception_ptr&) { done = true; });
+    while (!done) {
+      io_.run_one();
+    }
+    return answer;
+  }
+
+  /// Returns a request of which the connection is closed after the answer.
+  static std::string MakeRequest(std::string_view method,
+                                 std::string_view path,
+                                 std::string_view id,
+                                 std::string_view body = {}) {
+    std::string text(method);
+    text += " " + std::string(path) + " HTTP/1.1\r\nHost: a.example\r\n";
+    if (!id.empty()) {
+      text += "Request-Id: " + std::string(id) + "\r\n";
+    }
+    text += "Deadline-Ms: 800\r\nConnection: close\r\n";
+    if (!body.empty()) {
+      text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    return text + "\r\n" + std::string(body);
+  }
+
+  /// Returns a sound answer with a body.
+  static std::string MakeAnswer(std::string_view body,
+                                std::string_view fields = {}) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n" +
+           std::string(fields) +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string(body);
+  }
+
+  /// Requests, without health checks, that reached targets.
+  [[nodiscard]] const std::vector<std::string>& requests() const {
+    return requests_;
+  }
+  [[nodiscard]] http::SessionLimits& limits() { return limits_; }
+  [[nodiscard]] const timeline::Recorder& recorder() const {
+    return recorder_;
+  }
+
+ private:
+  static std::string NextPrefix() {
+    static std::uint32_t number = 0;
+    ++number;
+    return "127." + std::to_string(1 + getpid() % 250) + "." +
+           std::to_string(1 + (100 + number) % 250);
+  }
+
+  static placement::Config MakeConfig() {
+    placement::Config config;
+    config.retries = {0.2, std::chrono::seconds(10), 100.0};
+    return config;
+  }
+
+  http::ServerContext MakeContext() {
+    http::ServerContext context{
+        driver_,
+        recorder_,
+        services_,
+        [](ServiceId, Rank) -> const table::Row* { return nullptr; },
+        [this](TargetId target) { return addresses_[target]; },
+        [this](TargetId target) { return names_.NameOf(target); },
+        [](TargetId) {},
+        [](std::string_view) { return std::optional<http::PageAnswer>(); }};
+    context.vm = "vm";
+    context.dialect = &platform::PlatformDialect();
+    context.hold_bytes = 256UL * 1024;
+    context.session_limits = [this] { return limits_; };
+    context.find_route = [this](const http::RouteQuery& query)
+        -> std::variant<http::RoutedCall, http::Refusal> {
+      http::RoutedCall call;
+      call.service = services_.Intern("s");
+      call.service_name = "s";
+      call.timeout = std::chrono::milliseconds(700);
+      call.objective = std::chrono::milliseconds(200);
+      call.max_attempts = 2;
+      if (query.path.starts_with("/read/")) {
+        call.semantics = table::Semantics::kIdempotent;
+      } else if (!query.path.starts_with("/write/")) {
+        return http::RefusalFor(dispatch::RefuseReason::kUnknownService,
+                                http::Outcome::kNotRun, Duration::zero());
+      }
+      return call;
+    };
+    return context;
+  }
+
+  void AddTarget(std::size_t number) {
+    const std::string name = "i-" + std::to_string(number);
+    const TargetId id = names_.Intern(name);
+    const std::string host = prefix_ + ".2";
+    const auto port = static_cast<std::uint16_t>(9000 + number);
+    addresses_[id] = host + ":" + std::to_string(port);
+    placement::TargetFacts facts;
+    facts.id = id;
+    facts.service = services_.Intern("s");
+    facts.slots = 3;
+    facts_.push_back(facts);
+    acceptors_.push_back(std::make_unique<asio::ip::tcp::acceptor>(
+        io_,
+        asio::ip::tcp::endpoint(asio::ip::make_address(host), port)));
+    asio::co_spawn(io_, Accept(*acceptors_.back(), name), asio::detached);
+  }
+
+  asio::awaitable<void> Accept(asio::ip::tcp::acceptor& acceptor,
+                               std::string name) {
+    for (;;) {
+      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      asio::co_spawn(io_, ServeTarget(std::move(socket), name), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> ServeTarget(asio::ip::tcp::socket socket,
+                                    std::string name) {
+    std::string buffer;
+    boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    for (;;) {
+      const std::size_t size = co_await asio::async_read_until(
+          socket, asio::dynamic_buffer(buffer), "\r\n\r\n", token);
+      if (error) {
+        co_return;
+      }
+      const std::string head = buffer.substr(0, size);
+      buffer.erase(0, size);
+      const std::size_t length = LengthOf(head);
+      while (buffer.size() < length && !error) {
+        std::string more(length - buffer.size(), '\0');
+        const std::size_t got =
+            co_await socket.async_read_some(asio::buffer(more), token);
+        buffer += more.substr(0, got);
+      }
+      const std::string body = buffer.substr(0, length);
+      buffer.erase(0, length);
+      const ScriptedAnswer answer = AnswerTo(head, body, name);
+      co_await asio::async_write(socket, asio::buffer(answer.bytes), token);
+      if (answer.reset) {
+        // The destructor would end the connection in order all the same.
+        socket.set_option(asio::socket_base::linger(true, 0), error);
+        socket.close(error);
+      }
+      if (answer.reset || answer.close) {
+        co_return;
+      }
+    }
+  }
+
+  ScriptedAnswer AnswerTo(const std::string& head,
+                          const std::string& body,
+                          const std::string& name) {
+    if (head.starts_with("GET /health")) {
+      return {"HTTP/1.1 200 OK\r\nInstance-Id: " + name +
+              "\r\nServer-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n"};
+    }
+    requests_.push_back(head + body);
+    ScriptedAnswer answer{MakeAnswer("fine")};
+    if (!script_.empty()) {
+      answer = script_.front();
+      script_.pop_front();
+    }
+    const std::string id = FieldIn(head, "Request-Id: ");
+    for (std::size_t at = answer.bytes.find("{id}"); at != std::string::npos;
+         at = answer.bytes.find("{id}")) {
+      answer.bytes.replace(at, 4, id);
+    }
+    return answer;
+  }
+
+  static std::string FieldIn(const std::string& head, std::string_view name) {
+    const std::size_t at = head.find(name);
+    if (at == std::string::npos) {
+      return {};
+    }
+    const std::size_t start = at + name.size();
+    return head.substr(start, head.find("\r\n", start) - start);
+  }
+
+  static std::size_t LengthOf(const std::string& head) {
+    const std::string text = FieldIn(head, "Content-Length: ");
+    return text.empty() ? 0 : std::stoul(text);
+  }
+
+  asio::awaitable<void> Talk(std::string bytes, std::string& answer) {
+    asio::ip::tcp::socket socket(io_);
+    co_await socket.async_connect(
+        {asio::ip::make_address(prefix_ + ".1"), 8080}, asio::use_awaitable);
+    boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    co_await asio::async_write(socket, asio::buffer(bytes), token);
+    std::array<char, 4096> chunk{};
+    while (!error) {
+      const std::size_t size =
+          co_await socket.async_read_some(asio::buffer(chunk), token);
+      answer.append(chunk.data(), size);
+    }
+  }
+
+  std::string prefix_;
+  asio::io_context io_{1};
+  timeline::Recorder recorder_;
+  Names<ServiceId> services_;
+  Names<TargetId> names_;
+  std::map<TargetId, std::string> addresses_;
+  std::vector<placement::TargetFacts> facts_;
+  std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors_;
+  std::deque<ScriptedAnswer> script_;
+  std::vector<std::string> requests_;
+  http::SessionLimits limits_;
+  placement::Placer placer_;
+  http::DispatchDriver driver_;
+  std::optional<http::Server> server_;
+};
+
+}  // namespace kingcupshed::support
