--- /dev/null
+++ b/src/kingcupshed/catalog/record_cache.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kingcupshed/core/log_record.h"
+#include "kingcupshed/core/time.h"
+
+namespace kingcupshed::catalog {
+
+/// Newest record of one key of a log.
+struct CachedRecord {
+  LogOffset offset{};
+  std::string key;
+  /// Nothing when the key was dropped.
+  std::optional<std::string> value;
+};
+
+/// Newest record of each key of a topic, for VMs that do not read the store
+/// themselves.
+class RecordCache {
+ public:
+  /// Takes a record; one with a lower offset than known changes nothing.
+  void Take(CachedRecord record, TimePoint now);
+
+  /// Takes note that a listing up to an offset lacks all other keys.
+  void KeepOnly(const std::vector<std::string>& keys,
+                LogOffset end,
+                TimePoint now);
+
+  /// Returns the newest records from an offset on, in order of their offsets.
+  [[nodiscard]] std::vector<CachedRecord> Since(LogOffset from) const;
+
+  /// Forgets keys that were dropped long ago.
+  void Trim(TimePoint now);
+
+ private:
+  struct Entry {
+    CachedRecord record;
+    TimePoint taken{};
+  };
+
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace kingcupshed::catalog
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -81,7 +81,10 @@
         store_(settings.store),
         placer_(PlacementConfig(settings)),
         driver_(runtime_.io, placer_),
-        follower_(runtime_.io, store_, settings.vm, MakeStoreHooks()),
+        follower_(runtime_.io,
+                  store_,
+                  {settings.vm, settings.zone, settings.peer_listen},
+                  MakeStoreHooks()),
         server_(runtime_.io, MakeServerContext()),
         pages_(runtime_.io, MakePagesContext()),
         stop_driver_(runtime_.io, server_, settings.stop_grace),
@@ -138,6 +141,9 @@
           [this](std::size_t count) {
             vms_ = std::max<std::size_t>(1, count);
             placer_.SetFleetSize(vms_);
+          },
+          [this](std::string kind, std::string detail) {
+            events_.Note("store", std::move(kind), std::move(detail));
           }};
 }
 
@@ -363,6 +369,7 @@
 asio::awaitable<void> RoutedVm::StopGracefully() {
   co_await stop_driver_.Run([this] { events_.Note("vm", "stopping", ""); });
   events_.Note("vm", "stopped", "");
+  follower_.Stop();
   runtime_.io.stop();
 }
 
@@ -382,7 +389,12 @@
     events_.Note(decision);
   });
   driver_.SetProbe([this](TargetId target) { Probe(target); });
-  follower_.Start();
+  if (!follower_.Start()) {
+    log::Write(log::Severity::kError, kPart,
+               "The address " + settings.peer_listen +
+                   " could not be bound.");
+    return 1;
+  }
   settings_watch_.Start();
   asio::co_spawn(runtime_.io, StopGracefully(), asio::detached);
   asio::co_spawn(runtime_.io, ReportRegularly(), asio::detached);
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -1,15 +1,17 @@
 #include "kingcupshed/daemon/store_follower.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "kingcupshed/log/log.h"
 #include "kingcupshed/platform/documents.h"
+#include "peer.pb.h"
 
 namespace kingcupshed::daemon {
 
@@ -19,17 +21,30 @@
 using platform::KeyedPage;
 using platform::StoreStatus;
 
-constexpr std::string_view kPart = "store";
-/// Longest wait of a poll for routes or VMs; the store allows 30 s.
+/// Longest wait of a poll for routes; the store allows 30 s.
 constexpr Duration kLongPoll = std::chrono::seconds(25);
-/// Time between two reads of the targets: within the time in which a leaving
-/// target must get no more work, with room for a failed read.
-constexpr Duration kTargetPace = std::chrono::milliseconds(1000);
+/// Time between two reads of the targets, and between two questions to the VM
+/// that reads. Both together stay within the time in which a leaving target
+/// must get no more work, with room for a question that fails.
+constexpr Duration kTargetPace = std::chrono::milliseconds(900);
+/// Part by which the pace of VMs differs, so that they don't ask together.
+constexpr double kPaceSpread = 0.2;
+/// What others read is used up to this age; beyond, another VM is asked.
+constexpr Duration kFreshAge = std::chrono::milliseconds(1600);
+/// A VM whose knowledge is older reads the store itself.
+constexpr Duration kStaleAge = std::chrono::milliseconds(2000);
+constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
 /// Time after the start in which the VM can't tell a slow store from a far one.
 constexpr Duration kStartTime = std::chrono::seconds(3);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
+/// Time after the start for which a VM rather asks others than reads itself.
+constexpr Duration kStartPatience = std::chrono::milliseconds(1000);
+/// VMs start together and list each other again once all have registered.
+constexpr Duration kListDelay = std::chrono::milliseconds(1200);
+/// Time between two listings of the VMs; most changes come by their questions.
+constexpr Duration kListInterval = std::chrono::seconds(60);
 
 TimePoint Now() {
   return std::chrono::steady_clock::now();
@@ -39,20 +54,39 @@
 
 StoreFollower::StoreFollower(asio::io_context& io,
                              const platform::Store& store,
-                             std::string vm,
+                             VmPlace place,
                              StoreHooks hooks)
     : io_(io),
       store_(store),
-      vm_(std::move(vm)),
+      place_(std::move(place)),
       hooks_(std::move(hooks)),
-      random_(std::hash<std::string>{}(vm_)),
+      random_(std::hash<std::string>{}(place_.vm)),
+      client_(io),
+      server_(io,
+              {[](const peer::wire::Gossip&, peer::wire::Gossip&) {},
+               [](const peer::wire::KeptAnswerRequest&,
+                  peer::wire::KeptAnswer&) {},
+               [this](const peer::wire::PublishedRequest& request,
+                      peer::wire::Published& answer) {
+                 Answer(request, answer);
+               }}),
+      readers_(place_.vm),
       started_(Now()) {}
 
-void StoreFollower::Start() {
+bool StoreFollower::Start() {
+  if (!server_.Listen(place_.peer_address)) {
+    return false;
+  }
   asio::co_spawn(io_, FollowRoutes(), asio::detached);
   asio::co_spawn(io_, FollowTargets(), asio::detached);
   asio::co_spawn(io_, FollowVms(), asio::detached);
   asio::co_spawn(io_, AdvanceTargets(), asio::detached);
+  return true;
+}
+
+void StoreFollower::Stop() {
+  server_.Stop();
+  client_.Stop();
 }
 
 asio::awaitable<void> StoreFollower::Pause(Duration duration) {
@@ -64,18 +98,18 @@
 asio::awaitable<KeyedPage> StoreFollower::Read(std::string topic,
                                                std::optional<LogOffset> next,
                                                Duration wait) {
-  if (!next) {
-    // The end that a listing names may lie beyond the records that it shows. A
-    // second listing shows all that came before the end of the first.
-    const KeyedPage first = co_await store_.ReadNewest(topic);
-    if (first.status != StoreStatus::kDone) {
-      co_return first;
-    }
-    KeyedPage second = co_await store_.ReadNewest(std::move(topic));
-    second.next = first.next;
-    co_return second;
+  if (next) {
+    co_return co_await store_.ReadFrom(std::move(topic), *next, wait);
+  }
+  // The end that a listing names may lie beyond the records that it shows. A
+  // second listing shows all that came before the end of the first.
+  const KeyedPage first = co_await store_.ReadNewest(topic);
+  if (first.status != StoreStatus::kDone) {
+    co_return first;
   }
-  co_return co_await store_.ReadFrom(std::move(topic), *next, wait);
+  KeyedPage second = co_await store_.ReadNewest(std::move(topic));
+  second.next = first.next;
+  co_return second;
 }
 
 Duration StoreFollower::Backoff() {
@@ -83,9 +117,36 @@
          FromSeconds(random_.Unit() * ToSeconds(kBackoffSpread));
 }
 
+void StoreFollower::NoteStore(bool reached) {
+  if (reached != store_reached_) {
+    hooks_.on_event(reached ? "store_regained" : "store_lost", "");
+  }
+  store_reached_ = reached;
+}
+
+bool StoreFollower::IsStale(TimePoint now) const {
+  return !newest_read_ || now - *newest_read_ > kStaleAge;
+}
+
+/// Returns whether this VM is to read the store now. One that has just started
+/// gives the others some time to answer first.
+bool StoreFollower::ShouldRead(TimePoint now) const {
+  if (!listed_ && now - started_ < kStartPatience) {
+    return false;
+  }
+  if (readers_.IsReader(now)) {
+    return true;
+  }
+  return IsStale(now) && now - started_ >= kStartPatience;
+}
+
 asio::awaitable<void> StoreFollower::FollowRoutes() {
   const std::string topic(platform::kOperatorTopic);
   for (;;) {
+    if (!ShouldRead(Now())) {
+      co_await Pause(kAdvanceInterval);
+      continue;
+    }
     const KeyedPage page = co_await Read(topic, routes_next_, kLongPoll);
     if (page.status == StoreStatus::kDone) {
       TakeRoutes(page);
@@ -116,51 +177,69 @@
 
 void StoreFollower::TakeRoutes(const KeyedPage& page) {
   for (const platform::KeyedRecord& record : page.records) {
-    if (record.key != platform::kRoutesKey || !record.value) {
-      continue;
-    }
-    auto routes = platform::DecodeRoutes(*record.value);
-    if (!routes) {
-      log::Write(log::Severity::kWarning, kPart,
-                 "Routes that can't be used were published; the ones in force "
-                 "stay.");
-      continue;
-    }
-    if (version_ && routes->version <= *version_) {
-      continue;
+    if (record.key == platform::kRoutesKey && record.value) {
+      TakeRoutesText(*record.value);
     }
-    version_ = routes->version;
-    hooks_.on_routes(*std::move(routes));
   }
 }
 
+void StoreFollower::TakeRoutesText(const std::string& text) {
+  auto routes = platform::DecodeRoutes(text);
+  if (!routes) {
+    hooks_.on_event("routes_not_usable", "the ones in force stay");
+    return;
+  }
+  if (version_ && routes->version <= *version_) {
+    return;
+  }
+  version_ = routes->version;
+  routes_text_ = text;
+  hooks_.on_routes(*std::move(routes));
+}
+
 asio::awaitable<void> StoreFollower::FollowTargets() {
-  const std::string topic(platform::kTargetTopic);
-  std::optional<LogOffset> next;
   for (;;) {
-    const bool whole = !next;
-    const TimePoint asked = Now();
-    const KeyedPage page = co_await Read(topic, next, Duration::zero());
-    if (page.status == StoreStatus::kDone) {
-      catalog_.NoteRead(Now());
-      if (!whole) {
-        health_.NoteAnswer(Now() - asked, Now());
-      }
-      TakeTargets(page, whole);
-      next = page.next;
-      co_await CheckRoutes();
-      co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
-                                 ToSeconds(kTargetPace)));
-      continue;
+    bool fresh = false;
+    if (!readers_.IsReader(Now())) {
+      fresh = co_await AskOthers();
     }
-    if (page.status == StoreStatus::kExpired) {
-      next.reset();
-      continue;
+    if (!fresh && ShouldRead(Now())) {
+      fresh = co_await ReadTargets();
+    }
+    if (fresh) {
+      co_await Pause(FromSeconds(
+          (1.0 - kPaceSpread / 2 + kPaceSpread * random_.Unit()) *
+          ToSeconds(kTargetPace)));
+    } else {
+      co_await Pause(Backoff());
     }
+  }
+}
+
+asio::awaitable<bool> StoreFollower::ReadTargets() {
+  const std::string topic(platform::kTargetTopic);
+  const bool whole = !targets_next_;
+  const TimePoint asked = Now();
+  const KeyedPage page = co_await Read(topic, targets_next_, Duration::zero());
+  if (page.status == StoreStatus::kExpired) {
+    targets_next_.reset();
+    co_return false;
+  }
+  NoteStore(page.status == StoreStatus::kDone);
+  if (page.status != StoreStatus::kDone) {
     catalog_.NoteOutage(Now());
     health_.NoteFailure(Now());
-    co_await Pause(Backoff());
+    co_return false;
+  }
+  catalog_.NoteRead(Now());
+  if (!whole) {
+    health_.NoteAnswer(Now() - asked, Now());
   }
+  TakeTargets(page, whole);
+  targets_next_ = page.next;
+  newest_read_ = asked;
+  co_await CheckRoutes();
+  co_return true;
 }
 
 void StoreFollower::TakeTargets(const KeyedPage& page, bool whole) {
@@ -168,6 +247,7 @@
   std::vector<std::string> names;
   for (const platform::KeyedRecord& record : page.records) {
     names.push_back(record.key);
+    records_.Take({record.offset, record.key, record.value}, now);
     if (!record.value) {
       catalog_.Remove(record.key, record.offset, now);
       continue;
@@ -179,13 +259,132 @@
   }
   if (whole) {
     catalog_.KeepOnly(names, page.next, now);
+    records_.KeepOnly(names, page.next, now);
   }
-  knows_targets_ = true;
+  records_.Trim(now);
   if (catalog_.Advance(now)) {
     hooks_.on_targets();
   }
 }
 
+/// Asks other VMs for what they read, one after the other.
+/// @return True when one had fresh news.
+asio::awaitable<bool> StoreFollower::AskOthers() {
+  for (const std::string& vm : readers_.Candidates(Now())) {
+    const bool fresh = co_await Ask(vm);
+    if (fresh) {
+      readers_.Trust(vm);
+      co_return true;
+    }
+    if (Now() - started_ >= kStartPatience) {
+      readers_.Doubt(vm, Now());
+    }
+  }
+  if (IsStale(Now())) {
+    catalog_.NoteOutage(Now());
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> StoreFollower::Ask(std::string vm) {
+  const auto place = vms_.find(vm);
+  if (place == vms_.end()) {
+    co_return false;
+  }
+  peer::wire::PublishedRequest request;
+  request.mutable_sender()->set_vm(place_.vm);
+  request.mutable_sender()->set_zone(place_.zone);
+  request.mutable_sender()->set_peer_address(place_.peer_address);
+  request.set_targets_from(targets_next_ ? ToIndex(*targets_next_) : 0);
+  request.set_routes_version(version_ ? ToIndex(*version_) : 0);
+  asio::steady_timer answered(io_, asio::steady_timer::time_point::max());
+  std::optional<bool> fresh;
+  const TimePoint asked = Now();
+  client_.FetchPublished(
+      place->second.peer_address, request, kAskTimeout,
+      [&](const peer::wire::Published* news) {
+        const bool usable = news != nullptr && news->known();
+        if (usable) {
+          Take(*news);
+          const Duration age = std::chrono::milliseconds(news->age_ms());
+          newest_read_ = std::max(newest_read_.value_or(TimePoint{}),
+                                  asked - age);
+          fresh = age <= kFreshAge;
+        } else {
+          fresh = false;
+        }
+        answered.cancel();
+      });
+  // The client answers each question, so the references above stay valid.
+  while (!fresh) {
+    boost::system::error_code error;
+    co_await answered.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (*fresh) {
+    catalog_.NoteRead(Now());
+  }
+  co_return *fresh;
+}
+
+void StoreFollower::Take(const peer::wire::Published& news) {
+  KeyedPage page;
+  page.status = StoreStatus::kDone;
+  for (const peer::wire::StoreRecord& record : news.targets()) {
+    page.records.push_back(
+        {LogOffset{record.offset()}, record.key(),
+         record.removed() ? std::nullopt
+                          : std::optional<std::string>(record.value())});
+  }
+  page.next = LogOffset{news.targets_next()};
+  if (!targets_next_ || page.next >= *targets_next_) {
+    TakeTargets(page, !targets_next_);
+    targets_next_ = page.next;
+  }
+  if (!news.routes().empty()) {
+    TakeRoutesText(news.routes());
+  }
+  for (const peer::wire::VmPlace& vm : news.vms()) {
+    TakeVm(vm.vm(), vm.zone(), vm.peer_address());
+  }
+}
+
+/// Answers another VM with what this one has, and goes on reading for it.
+void StoreFollower::Answer(const peer::wire::PublishedRequest& request,
+                           peer::wire::Published& answer) {
+  const TimePoint now = Now();
+  readers_.NoteAsked(now);
+  const auto& sender = request.sender();
+  TakeVm(sender.vm(), sender.zone(), sender.peer_address());
+  if (!newest_read_ || !targets_next_) {
+    return;
+  }
+  answer.set_known(true);
+  answer.set_age_ms(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - *newest_read_)
+          .count()));
+  const LogOffset from{request.targets_from()};
+  for (const catalog::CachedRecord& record : records_.Since(from)) {
+    peer::wire::StoreRecord& out = *answer.add_targets();
+    out.set_offset(ToIndex(record.offset));
+    out.set_key(record.key);
+    out.set_removed(!record.value);
+    out.set_value(record.value.value_or(""));
+  }
+  answer.set_targets_next(ToIndex(*targets_next_));
+  if (version_ && ToIndex(*version_) > request.routes_version()) {
+    answer.set_routes(routes_text_);
+  }
+  if (request.targets_from() == 0) {
+    for (const auto& [name, place] : vms_) {
+      peer::wire::VmPlace& out = *answer.add_vms();
+      out.set_vm(place.vm);
+      out.set_zone(place.zone);
+      out.set_peer_address(place.peer_address);
+    }
+  }
+}
+
 /// Lets removals take effect that waited for targets to register again.
 asio::awaitable<void> StoreFollower::AdvanceTargets() {
   for (;;) {
@@ -198,36 +397,62 @@
 
 asio::awaitable<void> StoreFollower::FollowVms() {
   const std::string topic(platform::kVmTopic);
-  bool registered = false;
-  std::optional<LogOffset> next;
+  const std::string place =
+      platform::EncodeVm(place_.zone, place_.peer_address);
   for (;;) {
-    if (!registered) {
-      const StoreStatus put = co_await store_.Put(topic, vm_, "up");
-      registered = put == StoreStatus::kDone;
+    const StoreStatus put = co_await store_.Put(topic, place_.vm, place);
+    if (put == StoreStatus::kDone) {
+      break;
     }
-    const KeyedPage page = co_await Read(topic, next, kLongPoll);
-    if (page.status == StoreStatus::kDone) {
+    co_await Pause(Backoff());
+  }
+  for (;;) {
+    const KeyedPage page = co_await store_.ReadNewest(topic);
+    const bool listed = page.status == StoreStatus::kDone;
+    if (listed) {
       TakeVms(page);
-      next = page.next;
-      continue;
-    }
-    if (page.status == StoreStatus::kExpired) {
-      next.reset();
-      continue;
     }
-    co_await Pause(Backoff());
+    const bool first = listed && !listed_;
+    listed_ = listed_ || listed;
+    const Duration pause = listed && !first ? kListInterval : kListDelay;
+    co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
+                               ToSeconds(pause)));
   }
 }
 
 void StoreFollower::TakeVms(const KeyedPage& page) {
   for (const platform::KeyedRecord& record : page.records) {
-    if (record.value) {
-      vms_.insert(record.key);
-    } else {
-      vms_.erase(record.key);
+    const auto place =
+        record.value ? platform::DecodeVm(*record.value) : std::nullopt;
+    if (place) {
+      TakeVm(record.key, place->zone, place->peer_address);
+    }
+  }
+}
+
+void StoreFollower::TakeVm(const std::string& vm,
+                           const std::string& zone,
+                           const std::string& peer_address) {
+  if (vm == place_.vm || vm.empty()) {
+    return;
+  }
+  VmPlace& place = vms_[vm];
+  if (place.peer_address == peer_address && place.zone == zone) {
+    return;
+  }
+  place = {vm, zone, peer_address};
+  RenewReaders();
+  hooks_.on_vms(vms_.size() + 1);
+}
+
+void StoreFollower::RenewReaders() {
+  std::vector<std::string> near;
+  for (const auto& [name, place] : vms_) {
+    if (place.zone == place_.zone) {
+      near.push_back(name);
     }
   }
-  hooks_.on_vms(vms_.size());
+  readers_.SetVms(near);
 }
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -1,16 +1,20 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "kingcupshed/catalog/reader_choice.h"
+#include "kingcupshed/catalog/record_cache.h"
 #include "kingcupshed/catalog/store_health.h"
 #include "kingcupshed/catalog/target_catalog.h"
 #include "kingcupshed/core/random.h"
+#include "kingcupshed/peer/client.h"
+#include "kingcupshed/peer/server.h"
 #include "kingcupshed/platform/store.h"
 #include "kingcupshed/route/route_table.h"
 
@@ -22,61 +26,104 @@
   std::function<void(route::RouteTable)> on_routes;
   /// Targets, or what is believed of them, changed.
   std::function<void()> on_targets;
-  /// The VMs that registered changed.
+  /// The number of VMs that registered changed.
   std::function<void(std::size_t count)> on_vms;
+  /// A dependency was lost or regained, or news could not be used.
+  std::function<void(std::string kind, std::string detail)> on_event;
+};
+
+/// Where this VM stands among the others.
+struct VmPlace {
+  std::string vm;
+  std::string zone;
+  std::string peer_address;
 };
 
 /// Keeps what is published in the platform's store: routes, targets and VMs.
 ///
-/// Routes and VMs are read by long polls, which return when something changes.
-/// Targets write too often for that and are read at a fixed pace.
+/// In each zone one VM reads the store and the others ask it (see
+/// `catalog::ReaderChoice`); a VM whose sources are silent or stale reads for
+/// itself. Readers get routes by a poll that waits for changes, and targets,
+/// which change all the time, at a fixed pace.
 class StoreFollower {
  public:
-  /// @param vm Name under which this VM registers.
   StoreFollower(boost::asio::io_context& io,
                 const platform::Store& store,
-                std::string vm,
+                VmPlace place,
                 StoreHooks hooks);
 
-  /// Starts the loops.
-  void Start();
+  /// Starts serving the other VMs and following the store.
+  /// @return False when the VM's address for others can't be bound.
+  [[nodiscard]] bool Start();
+
+  /// Ends calls from and to other VMs.
+  void Stop();
 
   [[nodiscard]] const catalog::TargetCatalog& targets() const noexcept {
     return catalog_;
   }
 
   /// Returns true once the targets were read.
-  [[nodiscard]] bool knows_targets() const noexcept { return knows_targets_; }
+  [[nodiscard]] bool knows_targets() const noexcept { return newest_read_.has_value(); }
 
  private:
+  using Page = platform::KeyedPage;
+
   boost::asio::awaitable<void> FollowRoutes();
   boost::asio::awaitable<void> CheckRoutes();
   boost::asio::awaitable<void> FollowTargets();
+  boost::asio::awaitable<bool> ReadTargets();
+  boost::asio::awaitable<bool> AskOthers();
+  boost::asio::awaitable<bool> Ask(std::string vm);
   boost::asio::awaitable<void> FollowVms();
   boost::asio::awaitable<void> AdvanceTargets();
-  boost::asio::awaitable<platform::KeyedPage> Read(
-      std::string topic,
-      std::optional<LogOffset> next,
-      Duration wait);
   boost::asio::awaitable<void> Pause(Duration duration);
+  boost::asio::awaitable<Page> Read(std::string topic,
+                                    std::optional<LogOffset> next,
+                                    Duration wait);
   [[nodiscard]] Duration Backoff();
-  void TakeRoutes(const platform::KeyedPage& page);
-  void TakeTargets(const platform::KeyedPage& page, bool whole);
-  void TakeVms(const platform::KeyedPage& page);
+  void Answer(const peer::wire::PublishedRequest& request,
+              peer::wire::Published& answer);
+  void Take(const peer::wire::Published& news);
+  void TakeRoutes(const Page& page);
+  void TakeRoutesText(const std::string& text);
+  void TakeTargets(const Page& page, bool whole);
+  void TakeVm(const std::string& vm,
+              const std::string& zone,
+              const std::string& peer_address);
+  void TakeVms(const Page& page);
+  void RenewReaders();
+  void NoteStore(bool reached);
+  [[nodiscard]] bool IsStale(TimePoint now) const;
+  [[nodiscard]] bool ShouldRead(TimePoint now) const;
 
   boost::asio::io_context& io_;
   const platform::Store& store_;
-  std::string vm_;
+  VmPlace place_;
   StoreHooks hooks_;
   Random random_;
+  peer::Client client_;
+  peer::Server server_;
+
   catalog::TargetCatalog catalog_;
+  catalog::RecordCache records_;
+  catalog::ReaderChoice readers_;
   catalog::StoreHealth health_;
   TimePoint started_;
+  /// Other VMs by name.
+  std::map<std::string, VmPlace> vms_;
+  /// When what is known of the targets was read from the store, by this VM or
+  /// the one that it asked.
+  std::optional<TimePoint> newest_read_;
+  std::optional<LogOffset> targets_next_;
   std::optional<TableVersion> version_;
+  /// The routes in force as they were published.
+  std::string routes_text_;
   /// Offset from which routes are read on.
   std::optional<LogOffset> routes_next_;
-  std::set<std::string> vms_;
-  bool knows_targets_ = false;
+  bool store_reached_ = true;
+  /// True once the other VMs were listed.
+  bool listed_ = false;
 };
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/peer/client.cc
+++ b/src/kingcupshed/peer/client.cc
@@ -196,6 +196,18 @@
       address, request, timeout, method, std::move(on_answer));
 }
 
+void Client::FetchPublished(const std::string& address,
+                            const wire::PublishedRequest& request,
+                            Duration timeout,
+                            PublishedAnswer on_answer) {
+  using Method = void (wire::Peers::Stub::async::*)(
+      grpc::ClientContext*, const wire::PublishedRequest*, wire::Published*,
+      std::function<void(grpc::Status)>);
+  const Method method = &wire::Peers::Stub::async::FetchPublished;
+  state_->Start<wire::PublishedRequest, wire::Published>(
+      address, request, timeout, method, std::move(on_answer));
+}
+
 void Client::Forget(const std::string& address) {
   state_->peers.erase(address);
 }
--- a/src/kingcupshed/peer/client.h
+++ b/src/kingcupshed/peer/client.h
@@ -18,6 +18,7 @@
 class Client {
  public:
   using GossipAnswer = std::function<void(const wire::Gossip*)>;
+  using PublishedAnswer = std::function<void(const wire::Published*)>;
   using KeptAnswerAnswer = std::function<void(const wire::KeptAnswer*)>;
 
   explicit Client(boost::asio::io_context& io);
@@ -37,6 +38,12 @@
                        Duration timeout,
                        KeptAnswerAnswer on_answer);
 
+  /// Asks for what a VM read from the store.
+  void FetchPublished(const std::string& address,
+                      const wire::PublishedRequest& request,
+                      Duration timeout,
+                      PublishedAnswer on_answer);
+
   /// Closes the channel to a VM that is gone.
   void Forget(const std::string& address);
 
--- a/src/kingcupshed/peer/fwd.h
+++ b/src/kingcupshed/peer/fwd.h
@@ -7,6 +7,8 @@
 class Gossip;
 class KeptAnswer;
 class KeptAnswerRequest;
+class Published;
+class PublishedRequest;
 
 }  // namespace wire
 
--- a/src/kingcupshed/peer/server.cc
+++ b/src/kingcupshed/peer/server.cc
@@ -38,6 +38,14 @@
                   [=, this] { handlers.fetch_kept_answer(*request, *answer); });
   }
 
+  grpc::ServerUnaryReactor* FetchPublished(
+      grpc::CallbackServerContext* context,
+      const wire::PublishedRequest* request,
+      wire::Published* answer) override {
+    return Handle(context,
+                  [=, this] { handlers.fetch_published(*request, *answer); });
+  }
+
   /// Runs a handler on the io_context's thread and then ends the call.
   template <typename Handler>
   grpc::ServerUnaryReactor* Handle(grpc::CallbackServerContext* context,
--- a/src/kingcupshed/peer/server.h
+++ b/src/kingcupshed/peer/server.h
@@ -19,6 +19,10 @@
   std::function<void(const wire::KeptAnswerRequest& request,
                      wire::KeptAnswer& answer)>
       fetch_kept_answer;
+  /// Fills the answer with what was read from the store.
+  std::function<void(const wire::PublishedRequest& request,
+                     wire::Published& answer)>
+      fetch_published{};
 };
 
 /// Serves other VMs over gRPC.
--- a/src/kingcupshed/platform/documents.cc
+++ b/src/kingcupshed/platform/documents.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
 #include "kingcupshed/platform/json_read.h"
@@ -235,4 +236,23 @@
   return report;
 }
 
+std::string EncodeVm(const std::string& zone,
+                     const std::string& peer_address) {
+  return json::serialize(
+      json::object{{"zone", zone}, {"peer_address", peer_address}});
+}
+
+std::optional<VmEntryDocument> DecodeVm(const std::string& text) {
+  const auto document = ParseDocument(text);
+  if (!document) {
+    return std::nullopt;
+  }
+  auto zone = FindText(document->get_object(), "zone");
+  auto peer_address = FindText(document->get_object(), "peer_address");
+  if (!zone || !peer_address) {
+    return std::nullopt;
+  }
+  return VmEntryDocument{*std::move(zone), *std::move(peer_address)};
+}
+
 }  // namespace kingcupshed::platform
--- a/src/kingcupshed/platform/documents.h
+++ b/src/kingcupshed/platform/documents.h
@@ -30,4 +30,18 @@
     const std::string& name,
     const std::string& text);
 
+/// What a VM registers of itself.
+struct VmEntryDocument {
+  std::string zone;
+  /// Address for other VMs.
+  std::string peer_address;
+};
+
+/// Renders the entry of a VM.
+[[nodiscard]] std::string EncodeVm(const std::string& zone,
+                                   const std::string& peer_address);
+
+/// Reads the entry of a VM, or nothing when it can't be used.
+[[nodiscard]] std::optional<VmEntryDocument> DecodeVm(const std::string& text);
+
 }  // namespace kingcupshed::platform
