--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -84,6 +84,7 @@
         follower_(runtime_.io,
                   store_,
                   {settings.vm, settings.zone, settings.peer_listen},
+                  settings.first_start,
                   MakeStoreHooks()),
         server_(runtime_.io, MakeServerContext()),
         pages_(runtime_.io, MakePagesContext()),
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -55,10 +55,12 @@
 StoreFollower::StoreFollower(asio::io_context& io,
                              const platform::Store& store,
                              VmPlace place,
+                             bool first_start,
                              StoreHooks hooks)
     : io_(io),
       store_(store),
       place_(std::move(place)),
+      first_start_(first_start),
       hooks_(std::move(hooks)),
       random_(std::hash<std::string>{}(place_.vm)),
       client_(io),
@@ -95,9 +97,12 @@
 }
 
 /// Reads on from an offset, or everything when there is none yet.
-asio::awaitable<KeyedPage> StoreFollower::Read(std::string topic,
-                                               std::optional<LogOffset> next,
-                                               Duration wait) {
+/// @param take_early Gets what is known before everything is.
+asio::awaitable<KeyedPage> StoreFollower::Read(
+    std::string topic,
+    std::optional<LogOffset> next,
+    Duration wait,
+    std::function<void(const Page&)> take_early) {
   if (next) {
     co_return co_await store_.ReadFrom(std::move(topic), *next, wait);
   }
@@ -107,6 +112,7 @@
   if (first.status != StoreStatus::kDone) {
     co_return first;
   }
+  take_early(first);
   KeyedPage second = co_await store_.ReadNewest(std::move(topic));
   second.next = first.next;
   co_return second;
@@ -128,16 +134,14 @@
   return !newest_read_ || now - *newest_read_ > kStaleAge;
 }
 
-/// Returns whether this VM is to read the store now. One that has just started
-/// gives the others some time to answer first.
+/// Returns whether this VM is to read the store now. When the whole fleet has
+/// just started nobody waits for this VM, and it gives the others some time.
 bool StoreFollower::ShouldRead(TimePoint now) const {
-  if (!listed_ && now - started_ < kStartPatience) {
+  const bool patient = first_start_ && now - started_ < kStartPatience;
+  if (patient && !listed_) {
     return false;
   }
-  if (readers_.IsReader(now)) {
-    return true;
-  }
-  return IsStale(now) && now - started_ >= kStartPatience;
+  return readers_.IsReader(now) || (IsStale(now) && !patient);
 }
 
 asio::awaitable<void> StoreFollower::FollowRoutes() {
@@ -147,7 +151,9 @@
       co_await Pause(kAdvanceInterval);
       continue;
     }
-    const KeyedPage page = co_await Read(topic, routes_next_, kLongPoll);
+    const KeyedPage page =
+        co_await Read(topic, routes_next_, kLongPoll,
+                      [this](const Page& early) { TakeRoutes(early); });
     if (page.status == StoreStatus::kDone) {
       TakeRoutes(page);
       routes_next_ = page.next;
@@ -220,7 +226,11 @@
   const std::string topic(platform::kTargetTopic);
   const bool whole = !targets_next_;
   const TimePoint asked = Now();
-  const KeyedPage page = co_await Read(topic, targets_next_, Duration::zero());
+  const KeyedPage page = co_await Read(
+      topic, targets_next_, Duration::zero(), [this, asked](const Page& early) {
+        TakeTargets(early, false);
+        newest_read_ = asked;
+      });
   if (page.status == StoreStatus::kExpired) {
     targets_next_.reset();
     co_return false;
@@ -276,7 +286,7 @@
       readers_.Trust(vm);
       co_return true;
     }
-    if (Now() - started_ >= kStartPatience) {
+    if (!first_start_ || Now() - started_ >= kStartPatience) {
       readers_.Doubt(vm, Now());
     }
   }
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -47,9 +47,11 @@
 /// which change all the time, at a fixed pace.
 class StoreFollower {
  public:
+  /// @param first_start True when the whole fleet starts for the first time.
   StoreFollower(boost::asio::io_context& io,
                 const platform::Store& store,
                 VmPlace place,
+                bool first_start,
                 StoreHooks hooks);
 
   /// Starts serving the other VMs and following the store.
@@ -80,7 +82,8 @@
   boost::asio::awaitable<void> Pause(Duration duration);
   boost::asio::awaitable<Page> Read(std::string topic,
                                     std::optional<LogOffset> next,
-                                    Duration wait);
+                                    Duration wait,
+                                    std::function<void(const Page&)> take_early);
   [[nodiscard]] Duration Backoff();
   void Answer(const peer::wire::PublishedRequest& request,
               peer::wire::Published& answer);
@@ -100,6 +103,7 @@
   boost::asio::io_context& io_;
   const platform::Store& store_;
   VmPlace place_;
+  bool first_start_;
   StoreHooks hooks_;
   Random random_;
   peer::Client client_;
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -153,6 +153,16 @@
   settings.*kMember = number;
 }
 
+template <bool Settings::*kMember>
+void ReadFlag(Settings& settings, const Field& field) {
+  const bool* flag = field.value->if_bool();
+  if (flag == nullptr) {
+    field.Fail("the value is not true or false", "true, false");
+    return;
+  }
+  settings.*kMember = *flag;
+}
+
 void ReadZones(Settings& settings, const Field& field) {
   const json::object* zones = field.value->if_object();
   if (zones == nullptr || zones->empty()) {
@@ -191,7 +201,8 @@
 constexpr int kMaxRetryRatio = 10;
 constexpr int kMaxRetrySlack = 1'000'000;
 
-constexpr std::array<Key, 21> kKeys{{
+constexpr std::array<Key, 22> kKeys{{
+    {"first_start", &ReadFlag<&Settings::first_start>, false},
     {"vm", &ReadText<&Settings::vm>, true},
     {"zone", &ReadText<&Settings::zone>, true},
     {"zones", &ReadZones, true},
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -35,6 +35,8 @@
   Duration retry_window = std::chrono::seconds(10);
   /// Repeated arrivals at a service that the fleet may have besides.
   double retry_slack = 0.0;
+  /// True when the whole fleet starts for the first time.
+  bool first_start = false;
   /// Health checks of a target that all VMs together may send on average; zero
   /// for no bound.
   double probes_per_target_s = 0.0;
