Speak the store's published protocol everywhere; one client of the store

The stand-in of the platform serves topics, listings of newest records and the entries of targets and VMs by the published protocol, with its faults (outage, slow, lost answers, retention, compaction, refused senders). platform::Client, which the product's own interface uses, is built on platform::Store.

--- a/scripts/lib/slopes.py
+++ b/scripts/lib/slopes.py
@@ -98,7 +98,8 @@
             time.sleep(IDLE_S)
             now = {vm["name"]: sockets_bytes(vm) for vm in cluster.vms}
             lists = {path: len(http_get(cluster.platform, path)[1])
-                     for path in ("/targets", "/vms")}
+                     for path in ("/api/log-newest?topic=keyed.servers&part=0",
+                                  "/api/log-newest?topic=keyed.vms&part=0")}
             rows.append({
                 "vms": count,
                 "cpu_share": round(max((cpu_seconds(pid) - cpu[vm]) / IDLE_S
@@ -107,8 +108,8 @@
                 "peer_bytes_per_s": round(
                     2 * sum(now[vm] - sent[vm] for vm in now) / count /
                     IDLE_S),
-                "target_list_bytes": lists["/targets"],
-                "vm_list_bytes": lists["/vms"],
+                "target_list_bytes": lists["/api/log-newest?topic=keyed.servers&part=0"],
+                "vm_list_bytes": lists["/api/log-newest?topic=keyed.vms&part=0"],
                 "memory_mb": round(max(map(memory_mb, pids.values())), 1)})
         finally:
             cluster.stop()
--- a/src/kingcupshed/catalog/target_catalog.h
+++ b/src/kingcupshed/catalog/target_catalog.h
@@ -21,6 +21,8 @@
   std::string address;
   /// Calls that the target runs at once.
   std::uint32_t slots = 1;
+  /// Connections that the target accepts from all VMs, if its entry says so.
+  std::optional<std::uint32_t> connections;
   bool draining = false;
   /// Time for which the target is still slow after its start.
   Duration warmup_left{};
--- a/src/kingcupshed/platform/client.h
+++ b/src/kingcupshed/platform/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,6 +10,7 @@
 
 #include "kingcupshed/core/log_record.h"
 #include "kingcupshed/core/time.h"
+#include "kingcupshed/platform/store.h"
 
 namespace kingcupshed::platform {
 
@@ -61,18 +63,10 @@
   bool leaving = false;
 };
 
-/// The last whole answer to a request for a list.
-template <typename Entry>
-struct CachedList {
-  /// Entity tag under which the platform knows it.
-  std::string etag;
-  std::vector<Entry> entries;
-};
-
-/// Talks to the platform's log and lists.
+/// The product's own streams and lists in the platform's store.
 ///
-/// A list that did not change since the last request is not sent again: the
-/// platform answers 304 to its entity tag.
+/// A record carries an id that its writer gave it. Lists are kept and only what
+/// is new is read.
 class Client {
  public:
   /// @param address Host and port of the platform.
@@ -84,7 +78,8 @@
       std::string stream,
       std::vector<NewRecord> records) const;
 
-  /// Reads a stream, waiting up to `wait` for a record at `from`.
+  /// Reads a stream, waiting up to `wait` for a record at `from`. When records
+  /// are deleted already, the page begins with the first that is kept.
   /// @param patience Time beyond `wait` after which the read is given up.
   [[nodiscard]] boost::asio::awaitable<ReadResult> Read(
       std::string stream,
@@ -101,10 +96,18 @@
   ListVms() const;
 
  private:
-  std::string address_;
-  std::string source_;
-  mutable CachedList<TargetEntry> targets_;
-  mutable CachedList<VmEntry> vms_;
+  /// The entries of a topic as they were last read.
+  struct CachedTopic {
+    std::optional<LogOffset> next;
+    std::map<std::string, std::string> values;
+  };
+
+  boost::asio::awaitable<bool> Refresh(std::string topic,
+                                       CachedTopic& cache) const;
+
+  Store store_;
+  mutable CachedTopic targets_;
+  mutable CachedTopic vms_;
 };
 
 }  // namespace kingcupshed::platform
--- a/src/kingcupshed/platform/documents.cc
+++ b/src/kingcupshed/platform/documents.cc
@@ -231,6 +231,9 @@
   report.draining = state == "draining";
   report.warmup_left =
       FindSeconds(*status, "warmup_left_s").value_or(Duration::zero());
+  if (const auto connections = FindCount(*info, "connections")) {
+    report.connections = static_cast<std::uint32_t>(*connections);
+  }
   report.incarnation = born.value_or(0);
   report.sequence = *sequence;
   return report;
@@ -252,7 +255,10 @@
   if (!zone || !peer_address) {
     return std::nullopt;
   }
-  return VmEntryDocument{*std::move(zone), *std::move(peer_address)};
+  return VmEntryDocument{
+      *std::move(zone), *std::move(peer_address),
+      FindText(document->get_object(), "address").value_or(""),
+      FindFlag(document->get_object(), "leaving").value_or(false)};
 }
 
 }  // namespace kingcupshed::platform
--- a/src/kingcupshed/platform/documents.h
+++ b/src/kingcupshed/platform/documents.h
@@ -35,6 +35,9 @@
   std::string zone;
   /// Address for other VMs.
   std::string peer_address;
+  /// Address for callers, if it is known.
+  std::string address;
+  bool leaving = false;
 };
 
 /// Renders the entry of a VM.
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -30,6 +30,24 @@
 /// Pages of 500 keys; more than any deployment has.
 constexpr int kMostPages = 64;
 
+/// Tells whether a failed call surely changed nothing.
+bool SaysNothingWasDone(unsigned code) {
+  constexpr unsigned kFirstClientError = 400;
+  constexpr unsigned kFirstServerError = 500;
+  constexpr unsigned kUnavailable = 503;
+  return (code >= kFirstClientError && code < kFirstServerError) ||
+         code == kUnavailable;
+}
+
+/// Returns a count from a body that should be a JSON object.
+std::optional<std::uint64_t> FindCountIn(const std::string& body,
+                                         json::string_view key) {
+  boost::system::error_code error;
+  const json::value value = json::parse(body, error);
+  const json::object* object = error ? nullptr : value.if_object();
+  return object == nullptr ? std::nullopt : FindCount(*object, key);
+}
+
 StoreStatus StatusOf(const http::FetchResult& answer) {
   switch (answer.status) {
     case http::FetchStatus::kNotSent:
@@ -45,6 +63,11 @@
   return answer.code == kOk ? StoreStatus::kDone : StoreStatus::kNotDone;
 }
 
+std::uint64_t LoadBig64(const std::string& bytes, std::size_t at) {
+  return endian::load_big_u64(
+      reinterpret_cast<const unsigned char*>(bytes.data() + at));
+}
+
 std::uint32_t LoadBig32(const std::string& bytes, std::size_t at) {
   return endian::load_big_u32(
       reinterpret_cast<const unsigned char*>(bytes.data() + at));
@@ -52,25 +75,34 @@
 
 }  // namespace
 
-KeyedPage DecodeRead(const std::string& body, LogOffset from) {
+RawPage DecodeRawRead(const std::string& body) {
   constexpr std::size_t kHead = 16;
+  constexpr std::size_t kFirstAt = 8;
   constexpr std::size_t kLength = 4;
-  KeyedPage page;
+  RawPage page;
   if (body.size() < kHead) {
     return page;
   }
   page.status = StoreStatus::kDone;
-  std::vector<std::string> contents;
+  page.end = LogOffset{LoadBig64(body, 0)};
+  page.first = LogOffset{LoadBig64(body, kFirstAt)};
   std::size_t at = kHead;
   while (body.size() - at >= kLength) {
     const std::size_t size = LoadBig32(body, at);
     if (body.size() - at - kLength < size) {
       break;
     }
-    contents.push_back(body.substr(at + kLength, size));
+    page.contents.push_back(body.substr(at + kLength, size));
     at += kLength + size;
   }
-  for (const std::string& content : contents) {
+  return page;
+}
+
+KeyedPage DecodeRead(const std::string& body, LogOffset from) {
+  KeyedPage page;
+  const RawPage raw = DecodeRawRead(body);
+  page.status = raw.status;
+  for (const std::string& content : raw.contents) {
     KeyedRecord record;
     record.offset = LogOffset{ToIndex(from) + page.records.size()};
     const std::size_t key_size =
@@ -119,31 +151,39 @@
   return page;
 }
 
-std::string EncodeRecord(const std::string& key,
-                         const std::optional<std::string>& value) {
-  const std::size_t size = 1 + key.size() + (value ? value->size() : 0);
+std::string EncodeRaw(const std::string& content) {
   std::string record(4, '\0');
   endian::store_big_u32(reinterpret_cast<unsigned char*>(record.data()),
-                        static_cast<std::uint32_t>(size));
-  record += static_cast<char>(key.size());
-  record += key;
-  record += value.value_or("");
-  return record;
+                        static_cast<std::uint32_t>(content.size()));
+  return record + content;
+}
+
+std::string EncodeRecord(const std::string& key,
+                         const std::optional<std::string>& value) {
+  return EncodeRaw(static_cast<char>(key.size()) + key + value.value_or(""));
+}
+
+http::FetchRequest Store::MakeRequest(std::string path,
+                                      Duration timeout) const {
+  http::FetchRequest request;
+  request.address = address_;
+  request.source = source_;
+  request.path = std::move(path);
+  request.timeout = timeout;
+  request.connect_timeout = kConnectTimeout;
+  return request;
 }
 
 asio::awaitable<KeyedPage> Store::ReadNewest(std::string topic) const {
   KeyedPage whole;
   std::string after;
   for (int at = 0; at < kMostPages; ++at) {
-    http::FetchRequest request;
-    request.address = address_;
-    request.path = "/api/log-newest?topic=" + topic + "&part=0";
+    std::string path = "/api/log-newest?topic=" + topic + "&part=0";
     if (!after.empty()) {
-      request.path += "&after=" + after;
+      path += "&after=" + after;
     }
-    request.timeout = kAnswerTimeout;
-    request.connect_timeout = kConnectTimeout;
-    const http::FetchResult answer = co_await http::Fetch(std::move(request));
+    const http::FetchResult answer =
+        co_await http::Fetch(MakeRequest(std::move(path), kAnswerTimeout));
     if (StatusOf(answer) != StoreStatus::kDone) {
       co_return KeyedPage{StatusOf(answer), {}, {}};
     }
@@ -172,40 +212,89 @@
 asio::awaitable<KeyedPage> Store::ReadFrom(std::string topic,
                                            LogOffset from,
                                            Duration wait) const {
-  http::FetchRequest request;
-  request.address = address_;
-  request.path = "/api/log-read?topic=" + topic +
-                 "&part=0&from=" + std::to_string(ToIndex(from));
+  const http::FetchResult answer = co_await http::Fetch(
+      ReadRequest(std::move(topic), from, wait, kAnswerTimeout));
+  KeyedPage page;
+  page.status = StatusOf(answer);
+  if (page.status != StoreStatus::kDone) {
+    co_return page;
+  }
+  co_return DecodeRead(answer.body, from);
+}
+
+http::FetchRequest Store::ReadRequest(std::string topic,
+                                      LogOffset from,
+                                      Duration wait,
+                                      Duration patience) const {
+  std::string path = "/api/log-read?topic=" + topic +
+                     "&part=0&from=" + std::to_string(ToIndex(from));
   const auto wait_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   if (wait_ms > 0) {
-    request.path += "&wait_ms=" + std::to_string(wait_ms);
+    path += "&wait_ms=" + std::to_string(wait_ms);
   }
-  request.timeout = wait + kAnswerTimeout;
-  request.connect_timeout = kConnectTimeout;
+  http::FetchRequest request = MakeRequest(std::move(path), wait + patience);
   request.keep_alive_probes = wait_ms > 0;
-  const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  KeyedPage page;
+  return request;
+}
+
+asio::awaitable<RawPage> Store::ReadRaw(std::string topic,
+                                        LogOffset from,
+                                        Duration wait,
+                                        Duration patience) const {
+  const http::FetchResult answer =
+      co_await http::Fetch(ReadRequest(std::move(topic), from, wait, patience));
+  RawPage page;
   page.status = StatusOf(answer);
-  if (page.status != StoreStatus::kDone) {
-    co_return page;
+  if (page.status == StoreStatus::kDone) {
+    co_return DecodeRawRead(answer.body);
   }
-  co_return DecodeRead(answer.body, from);
+  if (page.status == StoreStatus::kExpired) {
+    page.first = LogOffset{FindCountIn(answer.body, "first").value_or(0)};
+  }
+  co_return page;
+}
+
+asio::awaitable<RawAppend> Store::AppendRaw(
+    std::string topic,
+    std::vector<std::string> contents) const {
+  http::FetchRequest request = MakeRequest(
+      "/api/log-append?topic=" + topic + "&part=0", kAnswerTimeout);
+  request.method = "POST";
+  for (const std::string& content : contents) {
+    request.body += EncodeRaw(content);
+  }
+  const http::FetchResult answer = co_await http::Fetch(std::move(request));
+  RawAppend result;
+  result.status = StatusOf(answer);
+  if (answer.status == http::FetchStatus::kAnswered &&
+      !SaysNothingWasDone(answer.code) &&
+      result.status != StoreStatus::kDone) {
+    result.status = StoreStatus::kUnknown;
+  }
+  if (result.status != StoreStatus::kDone) {
+    co_return result;
+  }
+  const auto offset = FindCountIn(answer.body, "offset");
+  if (!offset) {
+    result.status = StoreStatus::kUnknown;
+    co_return result;
+  }
+  result.first = LogOffset{*offset};
+  co_return result;
 }
 
 asio::awaitable<StoreStatus> Store::Put(
     std::string topic,
     std::string key,
     std::optional<std::string> value) const {
-  http::FetchRequest request;
-  request.address = address_;
-  request.method = "POST";
-  request.path = "/api/log-append?topic=" + topic + "&part=0";
-  request.body = EncodeRecord(key, value);
-  request.timeout = kAnswerTimeout;
-  request.connect_timeout = kConnectTimeout;
-  const http::FetchResult answer = co_await http::Fetch(std::move(request));
-  co_return StatusOf(answer);
+  const std::string content =
+      static_cast<char>(key.size()) + key + value.value_or("");
+  std::vector<std::string> contents;
+  contents.push_back(content);
+  const RawAppend result =
+      co_await AppendRaw(std::move(topic), std::move(contents));
+  co_return result.status;
 }
 
 }  // namespace kingcupshed::platform
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -10,6 +10,7 @@
 
 #include "kingcupshed/core/log_record.h"
 #include "kingcupshed/core/time.h"
+#include "kingcupshed/http/fetch.h"
 
 namespace kingcupshed::platform {
 
@@ -41,11 +42,30 @@
   std::vector<KeyedRecord> records;
 };
 
+/// Answer to a read of any topic.
+struct RawPage {
+  StoreStatus status = StoreStatus::kNotDone;
+  /// Oldest offset kept; also told when the records asked for are deleted.
+  LogOffset first{};
+  /// Offset that the next record of the log will get.
+  LogOffset end{};
+  std::vector<std::string> contents;
+};
+
+/// Answer to an append.
+struct RawAppend {
+  StoreStatus status = StoreStatus::kNotDone;
+  /// Offset of the first record.
+  LogOffset first{};
+};
+
 /// Client of the platform's metadata store.
 class Store {
  public:
   /// @param address Host and port of the store.
-  explicit Store(std::string address) : address_(std::move(address)) {}
+  /// @param source IP number to send from; empty for the system's choice.
+  explicit Store(std::string address, std::string source = {})
+      : address_(std::move(address)), source_(std::move(source)) {}
 
   /// Changes the address for calls from now on.
   void SetAddress(std::string address) { address_ = std::move(address); }
@@ -61,6 +81,18 @@
       LogOffset from,
       Duration wait) const;
 
+  /// Returns the records of any topic from an offset on.
+  /// @param patience Time beyond `wait` after which the read is given up.
+  [[nodiscard]] boost::asio::awaitable<RawPage> ReadRaw(std::string topic,
+                                                        LogOffset from,
+                                                        Duration wait,
+                                                        Duration patience) const;
+
+  /// Appends records to any topic, all or none.
+  [[nodiscard]] boost::asio::awaitable<RawAppend> AppendRaw(
+      std::string topic,
+      std::vector<std::string> contents) const;
+
   /// Appends the new value of a key.
   [[nodiscard]] boost::asio::awaitable<StoreStatus> Put(
       std::string topic,
@@ -68,7 +100,15 @@
       std::optional<std::string> value) const;
 
  private:
+  [[nodiscard]] http::FetchRequest MakeRequest(std::string path,
+                                               Duration timeout) const;
+  [[nodiscard]] http::FetchRequest ReadRequest(std::string topic,
+                                               LogOffset from,
+                                               Duration wait,
+                                               Duration patience) const;
+
   std::string address_;
+  std::string source_;
 };
 
 /// Reads the body of an answer to a read; records that are cut short end it.
@@ -79,6 +119,12 @@
 /// @param more Set to true when further pages follow.
 [[nodiscard]] KeyedPage DecodeNewest(const std::string& body, bool& more);
 
+/// Reads the body of an answer to a read of any topic.
+[[nodiscard]] RawPage DecodeRawRead(const std::string& body);
+
+/// Encodes a record of any topic.
+[[nodiscard]] std::string EncodeRaw(const std::string& content);
+
 /// Encodes a record of a keyed topic; without a value it drops the key.
 [[nodiscard]] std::string EncodeRecord(
     const std::string& key,
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -38,8 +38,10 @@
   /// Share of appends whose answer is lost.
   double lose_share = 0.0;
   Retention retention;
-  /// Age of the state that the lists show.
+  /// Age of the state that the entries of targets and VMs show.
   std::chrono::milliseconds list_lag{};
+  /// Senders, by IP number, whose calls are refused.
+  std::set<std::string> refused_senders;
 };
 
 /// What the platform has done so far.
@@ -68,6 +70,10 @@
   /// Returns the entries as they show now.
   [[nodiscard]] boost::json::array Show(Clock::time_point now);
 
+  /// Returns the entries that show otherwise than at the last call; those that
+  /// are off the list have the state `removed`.
+  [[nodiscard]] boost::json::array TakeChanges(Clock::time_point now);
+
  private:
   struct Change {
     std::string name;
@@ -78,10 +84,19 @@
   boost::json::array entries_;
   std::map<std::string, std::string> states_;
   std::vector<Change> pending_;
+  /// States as last taken.
+  std::map<std::string, std::string> taken_;
+};
+
+/// Newest value of a key.
+struct KeyedValue {
+  std::uint64_t offset = 0;
+  std::string value;
 };
 
-/// The platform: streams of records, the lists of targets and VMs, and the
-/// faults that a test switches on.
+/// The platform's store by its published protocol: topics of records with the
+/// newest record of each key, the entries of targets and VMs, and the faults
+/// that a test switches on.
 class Platform {
  public:
   /// @param deployment Deployment file with `targets`, `vms`, `zones`,
@@ -101,8 +116,18 @@
   [[nodiscard]] boost::json::object Describe();
   boost::asio::awaitable<Response> HandleReached(Request request);
   boost::asio::awaitable<Response> WaitOutOutage();
-  Response Append(const std::string& stream, const std::string& body);
-  boost::asio::awaitable<Response> Read(std::string stream, Request request);
+  Response Append(const Request& request);
+  Response Newest(const Request& request);
+  boost::asio::awaitable<Response> Read(Request request);
+  void PublishLists(Clock::time_point now);
+  void PublishChanges(LaggingList& list,
+                      const std::string& topic,
+                      std::string (*encode)(const boost::json::object&,
+                                            std::uint64_t sequence),
+                      Clock::time_point now);
+  void Store(const std::string& topic,
+             std::vector<std::string> contents,
+             Clock::time_point now);
   boost::asio::awaitable<void> Sleep(Clock::duration duration);
   boost::asio::awaitable<void> WaitForChange(Clock::time_point deadline);
   void WakeAll();
@@ -117,6 +142,9 @@
   LaggingList vms_;
   /// One-way delay by IP number of the sender.
   std::map<std::string, Clock::duration> distances_;
+  /// Newest record of each key of the keyed topics; kept for good.
+  std::map<std::string, std::map<std::string, KeyedValue>> newest_;
+  std::uint64_t list_sequence_ = 0;
   std::set<boost::asio::steady_timer*> waiting_;
   std::mt19937_64 random_{1};
 };
--- a/standin/record_store.cc
+++ b/standin/record_store.cc
@@ -36,6 +36,10 @@
   }
 }
 
+void RecordStore::DropAll(const std::string& stream) {
+  streams_[stream].records.clear();
+}
+
 std::uint64_t RecordStore::first(const std::string& stream) const {
   const auto found = streams_.find(stream);
   if (found == streams_.end()) {
--- a/standin/record_store.h
+++ b/standin/record_store.h
@@ -39,6 +39,9 @@
   /// Drops the records of every stream that retention no longer keeps.
   void Expire(const Retention& retention, Clock::time_point now);
 
+  /// Drops all records of a stream.
+  void DropAll(const std::string& stream);
+
   /// Returns the oldest offset kept.
   [[nodiscard]] std::uint64_t first(const std::string& stream) const;
 
