Follow the store in tests with the stand-in's faults; ask others when the store refuses this VM alone

Ten tests of the follower against the stand-in: outages, lost answers, forged and unusable entries, a deleted place in the log, one reader a zone. The last, AsksOthersWhenTheStoreRefusesItAlone, failed first: the VM that is first in its zone's order had nobody to ask when its own reads failed, and held old routes for as long. A VM now doubts itself and asks those behind it.

--- a/src/kingcupshed/catalog/reader_choice.cc
+++ b/src/kingcupshed/catalog/reader_choice.cc
@@ -37,17 +37,27 @@
 std::vector<std::string> ReaderChoice::Candidates(TimePoint now) const {
   std::vector<std::string> candidates;
   for (const std::string& vm : order_) {
-    if (vm == self_ || candidates.size() >= kMostAsked) {
+    const bool doubted = IsDoubted(vm, now);
+    // The store may refuse this VM alone; then those behind it can help.
+    if ((vm == self_ && !doubted) || candidates.size() >= kMostAsked) {
       break;
     }
-    const auto doubts = doubts_.find(vm);
-    if (doubts == doubts_.end() || doubts->second.until <= now) {
+    if (vm != self_ && !doubted) {
       candidates.push_back(vm);
     }
   }
   return candidates;
 }
 
+bool ReaderChoice::DoubtsSelf(TimePoint now) const {
+  return IsDoubted(self_, now);
+}
+
+bool ReaderChoice::IsDoubted(const std::string& vm, TimePoint now) const {
+  const auto doubts = doubts_.find(vm);
+  return doubts != doubts_.end() && doubts->second.until > now;
+}
+
 void ReaderChoice::Doubt(const std::string& vm, TimePoint now) {
   Doubts& doubts = doubts_[vm];
   doubts.until =
--- a/src/kingcupshed/catalog/reader_choice.h
+++ b/src/kingcupshed/catalog/reader_choice.h
@@ -28,7 +28,11 @@
   /// Returns whom to ask, best first; empty when this VM is to read itself.
   [[nodiscard]] std::vector<std::string> Candidates(TimePoint now) const;
 
-  /// A VM did not answer, or what it had was too old.
+  /// Returns true while this VM's own reads fail.
+  [[nodiscard]] bool DoubtsSelf(TimePoint now) const;
+
+  /// A VM did not answer, or what it had was too old; for this VM, that the
+  /// store did not answer it.
   void Doubt(const std::string& vm, TimePoint now);
 
   /// A VM answered with news that are fresh.
@@ -46,6 +50,8 @@
     std::size_t count = 0;
   };
 
+  [[nodiscard]] bool IsDoubted(const std::string& vm, TimePoint now) const;
+
   std::string self_;
   /// In the order in which they are asked.
   std::vector<std::string> order_;
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -206,7 +206,7 @@
 asio::awaitable<void> StoreFollower::FollowTargets() {
   for (;;) {
     bool fresh = false;
-    if (!readers_.IsReader(Now())) {
+    if (!readers_.IsReader(Now()) || readers_.DoubtsSelf(Now())) {
       fresh = co_await AskOthers();
     }
     if (!fresh && ShouldRead(Now())) {
@@ -239,8 +239,10 @@
   if (page.status != StoreStatus::kDone) {
     catalog_.NoteOutage(Now());
     health_.NoteFailure(Now());
+    readers_.Doubt(place_.vm, Now());
     co_return false;
   }
+  readers_.Trust(place_.vm);
   catalog_.NoteRead(Now());
   if (!whole) {
     health_.NoteAnswer(Now() - asked, Now());
--- a/test/kingcupshed/catalog/reader_choice.cc
+++ b/test/kingcupshed/catalog/reader_choice.cc
@@ -62,6 +62,20 @@
   }
 }
 
+// The store may refuse single VMs; the first of all had nobody to ask then.
+BOOST_AUTO_TEST_CASE(AsksThoseBehindItWhenItsOwnReadsFail) {
+  for (std::size_t at = 0; at < kVms.size(); ++at) {
+    ReaderChoice choice(kVms[at]);
+    choice.SetVms(kVms);
+    choice.Doubt(kVms[at], kStart);
+    BOOST_TEST(choice.DoubtsSelf(kStart));
+    BOOST_TEST(choice.Candidates(kStart).size() == 2U);
+    BOOST_TEST(!choice.IsReader(kStart));
+    choice.Trust(kVms[at]);
+    BOOST_TEST(!choice.DoubtsSelf(kStart));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ReadsForAWhileOnceAsked) {
   for (ReaderChoice& choice : MakeChoices()) {
     if (choice.IsReader(kStart)) {
--- /dev/null
+++ b/test/kingcupshed/daemon/store_follower.cc
@@ -0,0 +1,159 @@
+#include "kingcupshed/daemon/store_follower.h"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/store_rig.h"
+
+namespace kingcupshed::daemon {
+
+namespace {
+
+using Vm = support::StoreRig::Vm;
+
+bool Has(const Vm& vm, const std::string& event) {
+  return std::find(vm.events.begin(), vm.events.end(), event) !=
+         vm.events.end();
+}
+
+bool Ready(const Vm& vm) {
+  return !vm.versions.empty() && vm.Knows("a-1") && vm.Knows("a-2");
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Follow, support::StoreRig)
+
+BOOST_AUTO_TEST_CASE(LearnsRoutesAndTargetsAndTheirChanges) {
+  Vm& vm = AddVm();
+  RunUntil([&] { return Ready(vm); });
+  BOOST_TEST(vm.versions.back() == 1U);
+  Publish(3);
+  RunUntil([&] { return vm.versions.back() == 3U; });
+  Switch(R"({"targets": {"a-1": "leaving", "a-2": "removed"}})");
+  RunUntil([&] { return !vm.Knows("a-1") && !vm.Knows("a-2"); });
+}
+
+BOOST_AUTO_TEST_CASE(NeverGoesBackToAnOlderVersion) {
+  Vm& vm = AddVm();
+  RunUntil([&] { return Ready(vm); });
+  Publish(5);
+  RunUntil([&] { return vm.versions.back() == 5U; });
+  Publish(4);
+  Publish(6);
+  RunUntil([&] { return vm.versions.back() == 6U; });
+  BOOST_TEST(std::is_sorted(vm.versions.begin(), vm.versions.end()));
+  BOOST_TEST((vm.versions == std::vector<std::uint64_t>{1, 5, 6}));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItsRoutesWhenUnusableOnesArePublished) {
+  Vm& vm = AddVm();
+  RunUntil([&] { return Ready(vm); });
+  PublishText("{\"version\":");
+  RunUntil([&] { return Has(vm, "routes_not_usable"); });
+  Publish(2);
+  RunUntil([&] { return vm.versions.back() == 2U; });
+}
+
+BOOST_AUTO_TEST_CASE(IgnoresForgedTargets) {
+  Vm& vm = AddVm();
+  RunUntil([&] { return Ready(vm); });
+  PutTarget("a-1", "\xff nonsense");
+  PutTarget("forged", R"({"addr":5})");
+  Switch(R"({"targets": {"a-2": "leaving"}})");
+  RunUntil([&] { return !vm.Knows("a-2"); });
+  BOOST_TEST(vm.Knows("a-1"));
+  BOOST_TEST(!vm.Knows("forged"));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsWhatItKnowsThroughAnOutage) {
+  Vm& vm = AddVm();
+  RunUntil([&] { return Ready(vm); });
+  for (const char* outage : {"refuse", "hang"}) {
+    vm.events.clear();
+    Switch(R"({"outage": ")" + std::string(outage) + "\"}");
+    RunUntil([&] { return Has(vm, "store_lost"); });
+    BOOST_TEST(Ready(vm));
+    Switch(R"({"outage": "none"})");
+    RunUntil([&] { return Has(vm, "store_regained"); });
+  }
+  Publish(9);
+  RunUntil([&] { return vm.versions.back() == 9U; });
+}
+
+BOOST_AUTO_TEST_CASE(StartsWhenTheStoreComesBack) {
+  Switch(R"({"outage": "refuse"})");
+  Vm& vm = AddVm();
+  RunUntil([&] { return Has(vm, "store_lost"); });
+  BOOST_TEST(!vm.follower.knows_targets());
+  Switch(R"({"outage": "none"})");
+  RunUntil([&] { return Ready(vm); });
+}
+
+BOOST_AUTO_TEST_CASE(RegistersAlsoWhenAnAnswerIsLost) {
+  Switch(R"({"lose_answers": 1})");
+  Vm& first = AddVm();
+  RunUntil([&] { return Ready(first); });
+  Vm& second = AddVm();
+  RunUntil([&] { return second.fleet == 2U && first.fleet == 2U; });
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAllAgainAfterItsPlaceInTheLogIsDeleted) {
+  Vm& vm = AddVm();
+  RunUntil([&] { return Ready(vm); });
+  Switch(R"({"outage": "refuse"})");
+  RunUntil([&] { return Has(vm, "store_lost"); });
+  Switch(R"({"outage": "none", "targets": {"a-2": "removed"},
+             "compact": "keyed.servers"})");
+  RunUntil([&] { return !vm.Knows("a-2"); });
+  BOOST_TEST(vm.Knows("a-1"));
+}
+
+BOOST_AUTO_TEST_CASE(OneVmOfAZoneReadsForTheOthers) {
+  std::vector<Vm*> vms;
+  for (int at = 0; at < 5; ++at) {
+    vms.push_back(&AddVm());
+  }
+  RunUntil([&] {
+    return std::all_of(vms.begin(), vms.end(), [](const Vm* vm) {
+      return Ready(*vm) && vm->fleet == 5U;
+    });
+  });
+  // All have found their reader once some rounds have passed.
+  const std::uint64_t lists = Count("list_reads");
+  Publish(2);
+  RunUntil([&] {
+    return std::all_of(vms.begin(), vms.end(),
+                       [](const Vm* vm) { return vm->versions.back() == 2U; });
+  });
+  Switch(R"({"targets": {"a-1": "leaving"}})");
+  RunUntil([&] {
+    return std::all_of(vms.begin(), vms.end(),
+                       [](const Vm* vm) { return !vm->Knows("a-1"); });
+  });
+  BOOST_TEST(Count("list_reads") <= lists + 5);
+}
+
+BOOST_AUTO_TEST_CASE(AsksOthersWhenTheStoreRefusesItAlone) {
+  Vm& first = AddVm();
+  Vm& second = AddVm();
+  RunUntil([&] {
+    return Ready(first) && Ready(second) && first.fleet == 2U &&
+           second.fleet == 2U;
+  });
+  // Whichever reads: the other one is refused by the store, then this one.
+  for (std::size_t refused = 0; refused < 2; ++refused) {
+    const std::uint64_t version = 10 + refused;
+    Switch(R"({"refused_senders": [")" + IpOf(refused) + "\"]}");
+    Publish(version);
+    RunUntil([&] {
+      return first.versions.back() == version &&
+             second.versions.back() == version;
+    });
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kingcupshed::daemon
