--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -309,9 +309,10 @@
   }
   server_.Probe({target, row->health_path, kProbeTimeout},
                 [this, target](const http::ProbeOutcome& outcome) {
-                  if (outcome.answered && outcome.load) {
-                    driver_.Post(dispatch::LoadReported{target, *outcome.load,
-                                                        outcome.round_trip});
+                  if (outcome.answered) {
+                    driver_.Post(dispatch::LoadReported{
+                        target, outcome.load.value_or(LoadReport{}),
+                        outcome.round_trip});
                   } else {
                     driver_.Post(dispatch::ProbeFailed{target});
                   }
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -308,6 +308,7 @@
   request.mutable_sender()->set_zone(place_.zone);
   request.mutable_sender()->set_peer_address(place_.peer_address);
   request.set_targets_from(targets_next_ ? ToIndex(*targets_next_) : 0);
+  request.set_vms_known(vms_.size());
   request.set_routes_version(version_ ? ToIndex(*version_) : 0);
   asio::steady_timer answered(io_, asio::steady_timer::time_point::max());
   std::optional<bool> fresh;
@@ -387,7 +388,7 @@
   if (version_ && ToIndex(*version_) > request.routes_version()) {
     answer.set_routes(routes_text_);
   }
-  if (request.targets_from() == 0) {
+  if (request.vms_known() < vms_.size()) {
     for (const auto& [name, place] : vms_) {
       peer::wire::VmPlace& out = *answer.add_vms();
       out.set_vm(place.vm);
@@ -418,17 +419,22 @@
     }
     co_await Pause(Backoff());
   }
+  Duration pause = Duration::zero();
   for (;;) {
+    co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
+                               ToSeconds(pause)));
+    // The others are told by the VM that they ask.
+    if (listed_ && !readers_.IsReader(Now())) {
+      pause = kListDelay;
+      continue;
+    }
     const KeyedPage page = co_await store_.ReadNewest(topic);
     const bool listed = page.status == StoreStatus::kDone;
     if (listed) {
       TakeVms(page);
     }
-    const bool first = listed && !listed_;
+    pause = listed && listed_ ? kListInterval : kListDelay;
     listed_ = listed_ || listed;
-    const Duration pause = listed && !first ? kListInterval : kListDelay;
-    co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
-                               ToSeconds(pause)));
   }
 }
 
--- a/src/kingcupshed/dispatch/events.h
+++ b/src/kingcupshed/dispatch/events.h
@@ -76,6 +76,7 @@
 /// A load report that came with a probe or from a peer.
 struct LoadReported {
   TargetId target{};
+  /// Without slots when the target answered but does not tell its load.
   LoadReport load;
   /// Time that the probe took; zero when the report came otherwise.
   Duration round_trip{};
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -172,9 +172,13 @@
   const auto found = targets_.find(reported.target);
   if (found != targets_.end()) {
     TargetModel& target = found->second;
-    target.Report(reported.load, now_);
-    services_[target.facts().service].model.LearnLoad(
-        reported.load.in_flight + reported.load.queued, reported.load.slowdown);
+    Service& service = services_[target.facts().service];
+    service.tells_load = reported.load.slots > 0;
+    if (service.tells_load) {
+      target.Report(reported.load, now_);
+      service.model.LearnLoad(reported.load.in_flight + reported.load.queued,
+                              reported.load.slowdown);
+    }
     if (reported.round_trip > Duration::zero()) {
       Duration& usual =
           config_.round_trip[static_cast<std::size_t>(target.facts().distance)];
@@ -230,11 +234,14 @@
   const Duration held = now_ - attempt.started;
   switch (result) {
     case AttemptResult::kAnswered: {
-      target.Succeeded(now_);
       const Duration work = held - RoundTrip(target);
-      if (attempt.slowdown > 0.0 && !attempt.waited && work > Duration::zero()) {
-        services_[call.request.service].model.Learn(
-            call.request.route, work, attempt.slowdown, attempt.crowded);
+      Service& service = services_[call.request.service];
+      target.Succeeded(now_);
+      target.Took(ToSeconds(work) / ToSeconds(WorkOf(call)), now_);
+      const bool informed = attempt.slowdown > 0.0 || !service.tells_load;
+      if (informed && !attempt.waited && work > Duration::zero()) {
+        service.model.Learn(call.request.route, work,
+                            std::max(1.0, attempt.slowdown), attempt.crowded);
       }
       return;
     }
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -1,6 +1,8 @@
 // Looking for the target of a call.
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <cstddef>
 #include <utility>
 
 #include "kingcupshed/placement/internal/state.h"
@@ -23,6 +25,14 @@
 constexpr std::size_t kProbesOfRepeat = 2;
 /// The last round asks the targets of other regions.
 constexpr std::uint32_t kRemoteRound = 2;
+/// Time over which searches are counted.
+constexpr Duration kRateMemory = std::chrono::seconds(4);
+/// Probes of a target by this VM that keep a connection in use: some in the
+/// time after which targets close idle ones.
+constexpr double kWarmProbesPerS = 0.5;
+constexpr std::size_t kLeastWarm = 6;
+/// Odd factor that spreads bits (from Knuth's multiplicative hashing).
+constexpr std::uint64_t kHashFactor = 0x9E3779B97F4A7C15ULL;
 /// Wait for probes beyond twice the round trip.
 constexpr Duration kProbeSlack = std::chrono::milliseconds(4);
 /// A call needs probes when its objective is below this multiple of the work:
@@ -77,6 +87,19 @@
 
 }  // namespace
 
+/// Returns how many targets of a service this VM keeps connections to: few
+/// calls on many targets would need a new connection each time.
+std::size_t Engine::WarmTargets(Service& service) {
+  const double elapsed = ToSeconds(now_ - service.searches_at);
+  service.searches *= std::exp(-elapsed / ToSeconds(kRateMemory));
+  service.searches_at = now_;
+  service.searches += 1.0;
+  const double probes_s = kProbesOfRound[0] * service.searches /
+                          ToSeconds(kRateMemory);
+  return std::max(kLeastWarm,
+                  static_cast<std::size_t>(probes_s / kWarmProbesPerS));
+}
+
 void Engine::Search(Call& call) {
   call.round = 0;
   call.asked.clear();
@@ -86,6 +109,10 @@
 }
 
 bool Engine::NeedsProbes(const Call& call) const {
+  const auto service = services_.find(call.request.service);
+  if (service != services_.end() && !service->second.tells_load) {
+    return false;
+  }
   return call.request.objective != TimePoint::max() &&
          call.request.objective - call.arrived < kTightObjective * WorkOf(call);
 }
@@ -131,6 +158,9 @@
     const bool far = candidate.target->facts().distance == Distance::kRemote;
     return far != far_round || call.asked.count(id) > 0;
   });
+  if (call.round == 0) {
+    KeepWarm(candidates, WarmTargets(ServiceOf(call)));
+  }
   for (Candidate& candidate : candidates) {
     candidate.cost =
         Times(1.0 + kProbeNoise * (random_.Unit() - 0.5), candidate.cost);
@@ -159,6 +189,28 @@
                     kProbeSlack);
 }
 
+/// Keeps the nearest candidates, and of those as near the ones that this VM
+/// always prefers; other VMs prefer others.
+void Engine::KeepWarm(std::vector<Candidate>& candidates,
+                      std::size_t count) const {
+  if (candidates.size() <= count) {
+    return;
+  }
+  const auto order = [this](const Candidate& candidate) {
+    const TargetFacts& facts = candidate.target->facts();
+    const std::uint64_t mixed =
+        (config_.seed ^ ToIndex(facts.id)) * kHashFactor;
+    return std::pair(facts.distance, mixed ^ (mixed >> 32U));
+  };
+  std::nth_element(candidates.begin(),
+                   candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                   candidates.end(),
+                   [&](const Candidate& a, const Candidate& b) {
+                     return order(a) < order(b);
+                   });
+  candidates.resize(count);
+}
+
 void Engine::Probe(Call& call, const std::vector<Candidate>& candidates) {
   for (const Candidate& candidate : candidates) {
     const TargetId id = candidate.target->facts().id;
--- a/src/kingcupshed/placement/internal/state.h
+++ b/src/kingcupshed/placement/internal/state.h
@@ -81,6 +81,11 @@
   ServiceModel model;
   RetryBudget budget;
   Rank first_rank = Rank::kUrgent;
+  /// False once a target of the service answered a probe without its load.
+  bool tells_load = true;
+  /// Searches of late, to judge how many targets this VM keeps warm.
+  double searches = 0.0;
+  TimePoint searches_at{};
   std::set<CallId> waiting;
   ServiceCounters counters;
 };
@@ -117,6 +122,8 @@
   void SettleProbe(TargetId target);
   [[nodiscard]] bool NeedsProbes(const Call& call) const;
   [[nodiscard]] std::vector<Candidate> FindCandidates(const Call& call);
+  [[nodiscard]] std::size_t WarmTargets(Service& service);
+  void KeepWarm(std::vector<Candidate>& candidates, std::size_t count) const;
   void KeepKnown(std::vector<Candidate>& candidates) const;
   [[nodiscard]] bool IsInTime(const Call& call,
                               const Candidate& candidate) const;
--- a/src/kingcupshed/placement/target_model.cc
+++ b/src/kingcupshed/placement/target_model.cc
@@ -13,6 +13,10 @@
 constexpr double kSuccessFactor = 0.8;
 /// Time in which a failure is half forgotten without new evidence.
 constexpr Duration kFailureHalfLife = std::chrono::seconds(3);
+constexpr double kPaceGain = 0.4;
+constexpr double kMostPace = 10.0;
+/// Slow targets that do not tell their load are tried again after some seconds.
+constexpr Duration kPaceHalfLife = std::chrono::seconds(2);
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(300);
 constexpr std::uint32_t kMostDoublings = 4;
 
@@ -46,6 +50,17 @@
   unreachable_ = 0;
 }
 
+void TargetModel::Took(double multiple, TimePoint now) noexcept {
+  const double pace = PaceNow(now);
+  pace_ = pace + kPaceGain * (std::clamp(multiple, 0.5, kMostPace) - pace);
+  pace_at_ = now;
+}
+
+double TargetModel::PaceNow(TimePoint now) const noexcept {
+  return 1.0 + (pace_ - 1.0) * std::exp2(-ToSeconds(now - pace_at_) /
+                                         ToSeconds(kPaceHalfLife));
+}
+
 void TargetModel::Failed(TimePoint now, double weight) noexcept {
   const double failing_now = failing(now);
   failing_ = failing_now + weight * kFailureGain * (1.0 - failing_now);
@@ -78,6 +93,8 @@
     const double reported = report_->in_flight + report_->queued;
     backlog += Fade(estimate.age, work) * (reported - backlog);
     backlog += sent_since;
+  } else {
+    slowdown *= PaceNow(now);
   }
   backlog = std::max(backlog, static_cast<double>(starts_.size()));
   const double slots = service.UsefulSlots(std::max(1U, facts_.slots));
--- a/src/kingcupshed/placement/target_model.h
+++ b/src/kingcupshed/placement/target_model.h
@@ -52,6 +52,10 @@
   /// The target did work.
   void Succeeded(TimePoint now) noexcept;
 
+  /// Work took a multiple of the usual time; only used while the target does
+  /// not tell its load.
+  void Took(double multiple, TimePoint now) noexcept;
+
   /// The target failed work, or was silent.
   /// @param weight One for a plain failure, less for a mere sign.
   void Failed(TimePoint now, double weight) noexcept;
@@ -84,10 +88,15 @@
   [[nodiscard]] TimePoint reported() const noexcept { return reported_; }
 
  private:
+  [[nodiscard]] double PaceNow(TimePoint now) const noexcept;
+
   TargetFacts facts_;
   std::vector<TimePoint> starts_;
   std::optional<LoadReport> report_;
   TimePoint reported_{};
+  /// Smoothed multiple of the usual time that work took.
+  double pace_ = 1.0;
+  TimePoint pace_at_{};
   double failing_ = 0.0;
   TimePoint failing_at_{};
   TimePoint avoid_until_{};
--- a/test/kingcupshed/placement/placer.cc
+++ b/test/kingcupshed/placement/placer.cc
@@ -332,6 +332,49 @@
   BOOST_TEST(FindStart(Handle(dispatch::Tick{})) != nullptr);
 }
 
+// Health checks of some services tell nothing of the load; they were taken for
+// failed, and every target for unreachable.
+BOOST_AUTO_TEST_CASE(PlacesByItsOwnCallsWhereTargetsDoNotTellTheirLoad) {
+  AddTargets(3);
+  std::vector<Action> actions = Handle(MakeCall(1));
+  for (std::uint32_t target = 1; target <= 3; ++target) {
+    for (Action& next : Handle(dispatch::LoadReported{
+             TargetId{target}, LoadReport{}, milliseconds(1)})) {
+      actions.push_back(next);
+    }
+  }
+  BOOST_TEST(FindStart(actions) != nullptr);
+  std::map<TargetId, int> starts;
+  for (std::uint64_t call = 2; call <= 10; ++call) {
+    const auto placed = Handle(MakeCall(call));
+    BOOST_REQUIRE(FindStart(placed) != nullptr);
+    ++starts[FindStart(placed)->target];
+  }
+  BOOST_TEST(starts.size() == 3U);
+}
+
+// 144 VMs with three calls a second each probed 300 targets in turn, and most
+// probes needed a new connection.
+BOOST_AUTO_TEST_CASE(KeepsToFewTargetsWhileItHasFewCalls) {
+  AddTargets(60);
+  std::map<TargetId, int> probed;
+  for (std::uint64_t id = 1; id <= 40; ++id) {
+    for (const Action& action : Handle(MakeCall(id))) {
+      if (const auto* probe = std::get_if<dispatch::ProbeTarget>(&action)) {
+        ++probed[probe->target];
+        (void)Handle(dispatch::LoadReported{
+            probe->target, [] {
+              LoadReport load;
+              load.slots = 3;
+              return load;
+            }(), milliseconds(1)});
+      }
+    }
+    now += milliseconds(1000);
+  }
+  BOOST_TEST(probed.size() <= 20U);
+}
+
 BOOST_AUTO_TEST_CASE(ForgetsACallWhoseCallerLeft) {
   AddTargets(3);
   for (std::uint32_t target = 1; target <= 3; ++target) {
