--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -40,7 +40,9 @@
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
 /// Time after the start for which a VM rather asks others than reads itself.
-constexpr Duration kStartPatience = std::chrono::milliseconds(1000);
+constexpr Duration kStartPatience = std::chrono::milliseconds(1800);
+/// The VMs of a fleet that starts for the first time have registered by then.
+constexpr Duration kFirstListDelay = std::chrono::milliseconds(700);
 /// VMs start together and list each other again once all have registered.
 constexpr Duration kListDelay = std::chrono::milliseconds(1200);
 /// Time between two listings of the VMs; most changes come by their questions.
@@ -419,7 +421,7 @@
     }
     co_await Pause(Backoff());
   }
-  Duration pause = Duration::zero();
+  Duration pause = first_start_ ? kFirstListDelay : Duration::zero();
   for (;;) {
     co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
                                ToSeconds(pause)));
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -29,7 +29,7 @@
 constexpr Duration kRateMemory = std::chrono::seconds(4);
 /// Probes of a target by this VM that keep a connection in use: some in the
 /// time after which targets close idle ones.
-constexpr double kWarmProbesPerS = 0.5;
+constexpr double kWarmProbesPerS = 1.0;
 constexpr std::size_t kLeastWarm = 6;
 /// Odd factor that spreads bits (from Knuth's multiplicative hashing).
 constexpr std::uint64_t kHashFactor = 0x9E3779B97F4A7C15ULL;
