--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -33,6 +33,8 @@
 constexpr Duration kFreshAge = std::chrono::milliseconds(1600);
 /// A VM whose knowledge is older reads the store itself.
 constexpr Duration kStaleAge = std::chrono::milliseconds(2000);
+/// The same for routes, which change less often than readers do.
+constexpr Duration kRoutesStaleAge = std::chrono::milliseconds(3000);
 constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
 /// Time after the start in which the VM can't tell a slow store from a far one.
 constexpr Duration kStartTime = std::chrono::seconds(3);
@@ -40,7 +42,7 @@
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
 /// Time after the start for which a VM rather asks others than reads itself.
-constexpr Duration kStartPatience = std::chrono::milliseconds(1800);
+constexpr Duration kStartPatience = std::chrono::milliseconds(3500);
 /// The VMs of a fleet that starts for the first time have registered by then.
 constexpr Duration kFirstListDelay = std::chrono::milliseconds(700);
 /// VMs start together and list each other again once all have registered.
@@ -149,16 +151,21 @@
 asio::awaitable<void> StoreFollower::FollowRoutes() {
   const std::string topic(platform::kOperatorTopic);
   for (;;) {
-    if (!ShouldRead(Now())) {
+    const bool reader = readers_.IsReader(Now());
+    const bool late = !newest_read_ || Now() - *newest_read_ > kRoutesStaleAge;
+    if (!ShouldRead(Now()) || (!reader && !late)) {
       co_await Pause(kAdvanceInterval);
       continue;
     }
     const KeyedPage page =
-        co_await Read(topic, routes_next_, kLongPoll,
+        co_await Read(topic, routes_next_, reader ? kLongPoll : Duration::zero(),
                       [this](const Page& early) { TakeRoutes(early); });
     if (page.status == StoreStatus::kDone) {
       TakeRoutes(page);
       routes_next_ = page.next;
+      if (!reader) {
+        co_await Pause(kTargetPace);
+      }
       continue;
     }
     if (page.status == StoreStatus::kExpired) {
