--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -36,8 +36,6 @@
 /// The same for routes, which change less often than readers do.
 constexpr Duration kRoutesStaleAge = std::chrono::milliseconds(3000);
 constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
-/// Time after the start in which the VM can't tell a slow store from a far one.
-constexpr Duration kStartTime = std::chrono::seconds(3);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
@@ -178,8 +176,7 @@
 
 /// Reads the routes without waiting while a waiting poll can't be relied on.
 asio::awaitable<void> StoreFollower::CheckRoutes() {
-  const bool starting = Now() - started_ < kStartTime;
-  if (!routes_next_ || (!starting && !health_.IsDoubtful(Now()))) {
+  if (!routes_next_ || !health_.IsDoubtful(Now())) {
     co_return;
   }
   const std::string topic(platform::kOperatorTopic);
@@ -253,9 +250,8 @@
   }
   readers_.Trust(place_.vm);
   catalog_.NoteRead(Now());
-  if (!whole) {
-    health_.NoteAnswer(Now() - asked, Now());
-  }
+  // A first listing takes two calls.
+  health_.NoteAnswer(whole ? (Now() - asked) / 2 : Now() - asked, Now());
   TakeTargets(page, whole);
   targets_next_ = page.next;
   newest_read_ = asked;
