--- a/src/kingcupshed/daemon/event_log.cc
+++ b/src/kingcupshed/daemon/event_log.cc
@@ -30,16 +30,16 @@
     return facts;
   }
   const bool reported = decision.report_age != Duration::max();
-  std::snprintf(text.data(), text.size(),
-                " expected_ms=%.1f backlog=%.1f slowdown=%.2f report_age_ms=%s",
-                ToMilliseconds(decision.expected), decision.backlog,
-                decision.slowdown,
-                reported ? std::to_string(std::chrono::duration_cast<
-                                              std::chrono::milliseconds>(
-                                              decision.report_age)
-                                              .count())
-                               .c_str()
-                         : "none");
+  std::snprintf(
+      text.data(), text.size(),
+      " expected_ms=%.1f backlog=%.1f slowdown=%.2f report_age_ms=%s",
+      ToMilliseconds(decision.expected), decision.backlog, decision.slowdown,
+      reported ? std::to_string(
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         decision.report_age)
+                         .count())
+                     .c_str()
+               : "none");
   return facts + text.data();
 }
 
--- a/src/kingcupshed/daemon/placement_metrics.cc
+++ b/src/kingcupshed/daemon/placement_metrics.cc
@@ -60,8 +60,7 @@
   }
   for (const Level& level : kLevels) {
     for (const auto& [service, counted] : counters) {
-      page.AddGauge(level.name,
-                    {{"service", runtime.services.NameOf(service)}},
+      page.AddGauge(level.name, {{"service", runtime.services.NameOf(service)}},
                     level.read(counted));
     }
   }
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -192,9 +192,9 @@
     return http::PageAnswer{200, "text/plain", "ok\n"};
   }
   if (path == "/metrics") {
-    return http::PageAnswer{200, "text/plain; version=0.0.4",
-                            RenderPlacementMetrics(runtime_,
-                                                   placer_.ReadCounters())};
+    return http::PageAnswer{
+        200, "text/plain; version=0.0.4",
+        RenderPlacementMetrics(runtime_, placer_.ReadCounters())};
   }
   if (path == "/readyz") {
     return stop_driver_.Ready(servable())
@@ -302,21 +302,20 @@
           ? routes_->FindService(found->second.service)
           : nullptr;
   if (row == nullptr) {
-    asio::post(runtime_.io, [this, target] {
-      driver_.Post(dispatch::ProbeFailed{target});
-    });
+    asio::post(runtime_.io,
+               [this, target] { driver_.Post(dispatch::ProbeFailed{target}); });
     return;
   }
-  server_.Probe({target, row->health_path, kProbeTimeout},
-                [this, target](const http::ProbeOutcome& outcome) {
-                  if (outcome.answered) {
-                    driver_.Post(dispatch::LoadReported{
-                        target, outcome.load.value_or(LoadReport{}),
-                        outcome.round_trip});
-                  } else {
-                    driver_.Post(dispatch::ProbeFailed{target});
-                  }
-                });
+  server_.Probe(
+      {target, row->health_path, kProbeTimeout},
+      [this, target](const http::ProbeOutcome& outcome) {
+        if (outcome.answered) {
+          driver_.Post(dispatch::LoadReported{
+              target, outcome.load.value_or(LoadReport{}), outcome.round_trip});
+        } else {
+          driver_.Post(dispatch::ProbeFailed{target});
+        }
+      });
 }
 
 http::SessionLimits RoutedVm::Limits() const {
@@ -355,12 +354,11 @@
       std::ostringstream line;
       line << "service=" << runtime_.services.NameOf(service)
            << " arrived=" << counted.arrived << " started=" << counted.started
-           << " answered=" << counted.answered
-           << " refused=" << counted.refused << " repeats=" << counted.repeats
-           << " probes=" << counted.probes << " waiting=" << counted.waiting
+           << " answered=" << counted.answered << " refused=" << counted.refused
+           << " repeats=" << counted.repeats << " probes=" << counted.probes
+           << " waiting=" << counted.waiting
            << " work_ms=" << ToMilliseconds(counted.work)
-           << " crowding=" << counted.crowding
-           << " backlog=" << counted.backlog
+           << " crowding=" << counted.crowding << " backlog=" << counted.backlog
            << " slowdown=" << counted.slowdown;
       events_.Note("placement", "counts", line.str());
     }
@@ -387,14 +385,12 @@
       return 1;
     }
   }
-  placer_.SetObserver([this](const placement::Decision& decision) {
-    events_.Note(decision);
-  });
+  placer_.SetObserver(
+      [this](const placement::Decision& decision) { events_.Note(decision); });
   driver_.SetProbe([this](TargetId target) { Probe(target); });
   if (!follower_.Start()) {
     log::Write(log::Severity::kError, kPart,
-               "The address " + settings.peer_listen +
-                   " could not be bound.");
+               "The address " + settings.peer_listen + " could not be bound.");
     return 1;
   }
   settings_watch_.Start();
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -66,14 +66,12 @@
       hooks_(std::move(hooks)),
       random_(std::hash<std::string>{}(place_.vm)),
       client_(io),
-      server_(io,
-              {[](const peer::wire::Gossip&, peer::wire::Gossip&) {},
-               [](const peer::wire::KeptAnswerRequest&,
-                  peer::wire::KeptAnswer&) {},
-               [this](const peer::wire::PublishedRequest& request,
-                      peer::wire::Published& answer) {
-                 Answer(request, answer);
-               }}),
+      server_(
+          io,
+          {[](const peer::wire::Gossip&, peer::wire::Gossip&) {},
+           [](const peer::wire::KeptAnswerRequest&, peer::wire::KeptAnswer&) {},
+           [this](const peer::wire::PublishedRequest& request,
+                  peer::wire::Published& answer) { Answer(request, answer); }}),
       readers_(place_.vm),
       started_(Now()) {}
 
@@ -155,9 +153,9 @@
       co_await Pause(kAdvanceInterval);
       continue;
     }
-    const KeyedPage page =
-        co_await Read(topic, routes_next_, reader ? kLongPoll : Duration::zero(),
-                      [this](const Page& early) { TakeRoutes(early); });
+    const KeyedPage page = co_await Read(
+        topic, routes_next_, reader ? kLongPoll : Duration::zero(),
+        [this](const Page& early) { TakeRoutes(early); });
     if (page.status == StoreStatus::kDone) {
       TakeRoutes(page);
       routes_next_ = page.next;
@@ -219,9 +217,9 @@
       fresh = co_await ReadTargets();
     }
     if (fresh) {
-      co_await Pause(FromSeconds(
-          (1.0 - kPaceSpread / 2 + kPaceSpread * random_.Unit()) *
-          ToSeconds(kTargetPace)));
+      co_await Pause(
+          FromSeconds((1.0 - kPaceSpread / 2 + kPaceSpread * random_.Unit()) *
+                      ToSeconds(kTargetPace)));
     } else {
       co_await Pause(Backoff());
     }
@@ -232,11 +230,11 @@
   const std::string topic(platform::kTargetTopic);
   const bool whole = !targets_next_;
   const TimePoint asked = Now();
-  const KeyedPage page = co_await Read(
-      topic, targets_next_, Duration::zero(), [this, asked](const Page& early) {
-        TakeTargets(early, false);
-        newest_read_ = asked;
-      });
+  const KeyedPage page = co_await Read(topic, targets_next_, Duration::zero(),
+                                       [this, asked](const Page& early) {
+                                         TakeTargets(early, false);
+                                         newest_read_ = asked;
+                                       });
   if (page.status == StoreStatus::kExpired) {
     targets_next_.reset();
     co_return false;
@@ -325,8 +323,8 @@
         if (usable) {
           Take(*news);
           const Duration age = std::chrono::milliseconds(news->age_ms());
-          newest_read_ = std::max(newest_read_.value_or(TimePoint{}),
-                                  asked - age);
+          newest_read_ =
+              std::max(newest_read_.value_or(TimePoint{}), asked - age);
           fresh = age <= kFreshAge;
         } else {
           fresh = false;
@@ -349,10 +347,10 @@
   KeyedPage page;
   page.status = StoreStatus::kDone;
   for (const peer::wire::StoreRecord& record : news.targets()) {
-    page.records.push_back(
-        {LogOffset{record.offset()}, record.key(),
-         record.removed() ? std::nullopt
-                          : std::optional<std::string>(record.value())});
+    page.records.push_back({LogOffset{record.offset()}, record.key(),
+                            record.removed()
+                                ? std::nullopt
+                                : std::optional<std::string>(record.value())});
   }
   page.next = LogOffset{news.targets_next()};
   if (!targets_next_ || page.next >= *targets_next_) {
@@ -426,8 +424,8 @@
   }
   Duration pause = first_start_ ? kFirstListDelay : Duration::zero();
   for (;;) {
-    co_await Pause(FromSeconds((0.9 + 0.2 * random_.Unit()) *
-                               ToSeconds(pause)));
+    co_await Pause(
+        FromSeconds((0.9 + 0.2 * random_.Unit()) * ToSeconds(pause)));
     // The others are told by the VM that they ask.
     if (listed_ && !readers_.IsReader(Now())) {
       pause = kListDelay;
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -66,7 +66,9 @@
   }
 
   /// Returns true once the targets were read.
-  [[nodiscard]] bool knows_targets() const noexcept { return newest_read_.has_value(); }
+  [[nodiscard]] bool knows_targets() const noexcept {
+    return newest_read_.has_value();
+  }
 
  private:
   using Page = platform::KeyedPage;
@@ -80,10 +82,11 @@
   boost::asio::awaitable<void> FollowVms();
   boost::asio::awaitable<void> AdvanceTargets();
   boost::asio::awaitable<void> Pause(Duration duration);
-  boost::asio::awaitable<Page> Read(std::string topic,
-                                    std::optional<LogOffset> next,
-                                    Duration wait,
-                                    std::function<void(const Page&)> take_early);
+  boost::asio::awaitable<Page> Read(
+      std::string topic,
+      std::optional<LogOffset> next,
+      Duration wait,
+      std::function<void(const Page&)> take_early);
   [[nodiscard]] Duration Backoff();
   void Answer(const peer::wire::PublishedRequest& request,
               peer::wire::Published& answer);
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -59,8 +59,8 @@
       Finish();
       co_return AttemptResult::kRefused;
     }
-    const bool errored =
-        response_->get().result_int() >= kFirstErrorCode && response_->is_done();
+    const bool errored = response_->get().result_int() >= kFirstErrorCode &&
+                         response_->is_done();
     if (errored && !careful && request_.dialect->callers_name_calls) {
       co_return AttemptResult::kErrored;
     }
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -104,8 +104,7 @@
 }
 
 asio::awaitable<bool> Call::Serve() {
-  const std::optional<Refusal> refusal =
-      Routed() ? FindRoute() : FindRow();
+  const std::optional<Refusal> refusal = Routed() ? FindRoute() : FindRow();
   if (refusal) {
     co_return co_await Refuse(*refusal);
   }
@@ -149,8 +148,8 @@
   const table::Row* row =
       service ? server_.context.find_row(*service, options_.rank) : nullptr;
   if (row == nullptr) {
-    return RefusalFor(dispatch::RefuseReason::kUnknownService,
-                      Outcome::kNotRun, Duration::zero());
+    return RefusalFor(dispatch::RefuseReason::kUnknownService, Outcome::kNotRun,
+                      Duration::zero());
   }
   service_ = *service;
   semantics_ = row->semantics;
--- a/src/kingcupshed/http/internal/health_probe.cc
+++ b/src/kingcupshed/http/internal/health_probe.cc
@@ -54,8 +54,8 @@
   const bool reused = lease->reused;
   lease->sent = Now();
   lease->stream.expires_after(request.timeout);
-  beast::http::request<beast::http::empty_body> message(
-      beast::http::verb::get, request.path, 11);
+  beast::http::request<beast::http::empty_body> message(beast::http::verb::get,
+                                                        request.path, 11);
   message.set(beast::http::field::host,
               server.context.target_address(request.target));
   boost::system::error_code error;
--- a/src/kingcupshed/http/internal/race.cc
+++ b/src/kingcupshed/http/internal/race.cc
@@ -87,7 +87,8 @@
   }
   co_await AwaitRunning();
   if (winner_ == nullptr) {
-    refusal_.outcome = fallback_ != nullptr ? Outcome::kRan : machine_.outcome();
+    refusal_.outcome =
+        fallback_ != nullptr ? Outcome::kRan : machine_.outcome();
     if (refusal_.reason == RefuseReason::kOutcomeUnknown &&
         refusal_.outcome == Outcome::kNotRun) {
       // Nothing was sent, whatever the dispatcher had to suppose.
--- a/src/kingcupshed/http/internal/target_pool.cc
+++ b/src/kingcupshed/http/internal/target_pool.cc
@@ -82,11 +82,11 @@
     if (here->busy) {
       continue;
     }
-    const bool usable = !here->retired && now - here->proven <
-                            FromSeconds(kKeepAlivePart *
-                                        ToSeconds(here->keep_alive)) &&
-                        here->proven >= entry.suspect_since &&
-                        IsQuiet(here->stream.socket());
+    const bool usable =
+        !here->retired &&
+        now - here->proven <
+            FromSeconds(kKeepAlivePart * ToSeconds(here->keep_alive)) &&
+        here->proven >= entry.suspect_since && IsQuiet(here->stream.socket());
     if (!usable) {
       entry.connections.erase(here);
     } else if (best == nullptr || here->proven > best->proven) {
--- a/src/kingcupshed/http/refusal.cc
+++ b/src/kingcupshed/http/refusal.cc
@@ -46,9 +46,9 @@
     // 503 invites the caller to repeat the call; work that may have run
     // must not look like that.
     refusal.code = kBadGateway;
-    refusal.text =
-        kReasons[static_cast<std::size_t>(dispatch::RefuseReason::kOutcomeUnknown)]
-            .text;
+    refusal.text = kReasons[static_cast<std::size_t>(
+                                dispatch::RefuseReason::kOutcomeUnknown)]
+                       .text;
   }
   return refusal;
 }
--- a/src/kingcupshed/http/server.cc
+++ b/src/kingcupshed/http/server.cc
@@ -72,12 +72,11 @@
 
 void Server::Probe(ProbeRequest request,
                    std::function<void(ProbeOutcome)> done) {
-  asio::co_spawn(
-      state_->io, RunHealthProbe(*state_, std::move(request)),
-      [state = state_, done = std::move(done)](const std::exception_ptr& fault,
-                                               ProbeOutcome outcome) {
-        done(fault ? ProbeOutcome{} : outcome);
-      });
+  asio::co_spawn(state_->io, RunHealthProbe(*state_, std::move(request)),
+                 [state = state_, done = std::move(done)](
+                     const std::exception_ptr& fault, ProbeOutcome outcome) {
+                   done(fault ? ProbeOutcome{} : outcome);
+                 });
 }
 
 void Server::BeginStop() {
--- a/src/kingcupshed/log/line_writer.cc
+++ b/src/kingcupshed/log/line_writer.cc
@@ -10,8 +10,7 @@
 namespace kingcupshed::log {
 
 LineWriter::LineWriter(int descriptor, double lines_per_s)
-    : descriptor_(descriptor),
-      bucket_(lines_per_s, lines_per_s, lines_per_s) {
+    : descriptor_(descriptor), bucket_(lines_per_s, lines_per_s, lines_per_s) {
   struct stat status {};
   if (fstat(descriptor, &status) == 0 && S_ISFIFO(status.st_mode)) {
     const int flags = fcntl(descriptor, F_GETFL);
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -21,7 +21,6 @@
 /// expected.
 constexpr int kSilenceFactor = 3;
 constexpr std::uint32_t kDefaultAttempts = 2;
-constexpr Duration kRetryAfterNoTarget = std::chrono::milliseconds(300);
 /// Part of the probe bound that is used; the rest covers VMs that the others do
 /// not know of yet.
 constexpr double kProbePart = 0.75;
@@ -35,8 +34,7 @@
       tries.begin(), tries.end(), [](const Try& one) { return one.running; }));
 }
 
-Engine::Engine(Config config)
-    : config_(std::move(config)), random_(config_.seed) {}
+Engine::Engine(const Config& config) : config_(config), random_(config_.seed) {}
 
 void Engine::SetTargets(const std::vector<TargetFacts>& targets) {
   for (auto& [id, service] : services_) {
@@ -130,7 +128,8 @@
   call.answered = true;
   Learn(call, attempt, AttemptResult::kAnswered);
   if (answered.load) {
-    On(dispatch::LoadReported{attempt.target, *answered.load, Duration::zero()});
+    On(dispatch::LoadReported{attempt.target, *answered.load,
+                              Duration::zero()});
   }
   CancelOthers(call, &attempt);
   SetWake(call, TimePoint::max());
@@ -182,8 +181,8 @@
     if (reported.round_trip > Duration::zero()) {
       Duration& usual =
           config_.round_trip[static_cast<std::size_t>(target.facts().distance)];
-      usual += FromSeconds(kRoundTripGain *
-                           ToSeconds(reported.round_trip - usual));
+      usual +=
+          FromSeconds(kRoundTripGain * ToSeconds(reported.round_trip - usual));
     }
   }
   if (probes_.erase(reported.target) > 0) {
@@ -223,9 +222,7 @@
   }
 }
 
-void Engine::Learn(const Call& call,
-                   const Try& attempt,
-                   AttemptResult result) {
+void Engine::Learn(const Call& call, const Try& attempt, AttemptResult result) {
   const auto found = targets_.find(attempt.target);
   if (found == targets_.end()) {
     return;
@@ -398,10 +395,12 @@
                              : call.request.objective - call.arrived;
   // Operators leave room for a few times the work in an objective.
   constexpr int kObjectiveDivisor = 4;
-  const Duration guess =
-      std::max<Duration>(std::chrono::milliseconds(1), given / kObjectiveDivisor);
+  const Duration guess = std::max<Duration>(std::chrono::milliseconds(1),
+                                            given / kObjectiveDivisor);
   const auto found = services_.find(call.request.service);
-  return found == services_.end() ? guess : found->second.model.work(call.request.route, guess);
+  return found == services_.end()
+             ? guess
+             : found->second.model.work(call.request.route, guess);
 }
 
 Duration Engine::LeftToObjective(const Call& call) const {
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -94,8 +94,8 @@
   service.searches *= std::exp(-elapsed / ToSeconds(kRateMemory));
   service.searches_at = now_;
   service.searches += 1.0;
-  const double probes_s = kProbesOfRound[0] * service.searches /
-                          ToSeconds(kRateMemory);
+  const double probes_s =
+      kProbesOfRound[0] * service.searches / ToSeconds(kRateMemory);
   return std::max(kLeastWarm,
                   static_cast<std::size_t>(probes_s / kWarmProbesPerS));
 }
@@ -165,16 +165,15 @@
     candidate.cost =
         Times(1.0 + kProbeNoise * (random_.Unit() - 0.5), candidate.cost);
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.cost < b.cost;
-            });
+  std::sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
   std::size_t most =
       call.searches > 1 ? kProbesOfRepeat : kProbesOfRound[call.round];
   if (config_.probes_per_target_s > 0.0) {
     probe_tokens_.Advance(now_);
-    most = std::min(most, static_cast<std::size_t>(
-                              std::max(0.0, probe_tokens_.tokens())));
+    most = std::min(
+        most, static_cast<std::size_t>(std::max(0.0, probe_tokens_.tokens())));
   }
   candidates.resize(std::min(candidates.size(), most));
   Probe(call, candidates);
@@ -307,7 +306,7 @@
       return;
     }
     Refuse(call,
-           call.maybe_ran ? RefuseReason::kOutcomeUnknown
+           call.maybe_ran       ? RefuseReason::kOutcomeUnknown
            : call.tries.empty() ? RefuseReason::kNoTarget
                                 : RefuseReason::kRefusedByTargets,
            kRetryAfterNoTarget);
@@ -382,15 +381,13 @@
 }
 
 Duration Engine::BackWhenRoom(const Call& call) {
-  const Duration spare =
-      LeftToObjective(call) - Times(kSpread, WorkOf(call));
+  const Duration spare = LeftToObjective(call) - Times(kSpread, WorkOf(call));
   if (spare > 2 * kShortestReturn) {
     const Duration longest = std::min(spare, kLongestQuickReturn);
-    return kShortestReturn +
-           Times(random_.Unit(), longest - kShortestReturn);
+    return kShortestReturn + Times(random_.Unit(), longest - kShortestReturn);
   }
-  const Duration most = std::max<Duration>(LeftToDeadline(call) / kReturnDivisor,
-                                           kShortestReturn);
+  const Duration most = std::max<Duration>(
+      LeftToDeadline(call) / kReturnDivisor, kShortestReturn);
   return Times(0.5 + 0.5 * random_.Unit(), most);
 }
 
@@ -398,8 +395,8 @@
   Service& service = ServiceOf(call);
   TargetModel& target = *candidate.target;
   const bool repeat = call.tries.size() > call.unreachable;
-  if (repeat && !service.budget.TrySpend(
-                    now_, call.hedging ? kHedgeReserve : 0.0)) {
+  if (repeat &&
+      !service.budget.TrySpend(now_, call.hedging ? kHedgeReserve : 0.0)) {
     if (call.running() == 0) {
       Refuse(call,
              call.maybe_ran ? RefuseReason::kOutcomeUnknown
--- a/src/kingcupshed/placement/internal/state.h
+++ b/src/kingcupshed/placement/internal/state.h
@@ -93,7 +93,7 @@
 /// The decisions behind `Placer`.
 class Engine {
  public:
-  explicit Engine(Config config);
+  explicit Engine(const Config& config);
 
   void SetTargets(const std::vector<TargetFacts>& targets);
   void SetFirstRank(ServiceId service, Rank rank);
@@ -144,13 +144,17 @@
   void ArmHedge(Call& call, const Candidate& candidate);
   void TryHedge(Call& call);
   void CancelOthers(Call& call, const Try* winner);
-  void Learn(const Call& call, const Try& attempt, dispatch::AttemptResult result);
+  void Learn(const Call& call,
+             const Try& attempt,
+             dispatch::AttemptResult result);
   void Resolve(Call& call, dispatch::AttemptResult result);
   [[nodiscard]] bool MayRepeat(Call& call, dispatch::AttemptResult result);
   void Refuse(Call& call, dispatch::RefuseReason reason, Duration retry_after);
   void Finish(Call& call);
   void SetWake(Call& call, TimePoint wake);
-  void Tell(const Call& call, const Candidate* candidate, const char* why) const;
+  void Tell(const Call& call,
+            const Candidate* candidate,
+            const char* why) const;
 
   [[nodiscard]] Service& ServiceOf(const Call& call);
   [[nodiscard]] Duration WorkOf(const Call& call) const;
--- a/src/kingcupshed/placement/placer.cc
+++ b/src/kingcupshed/placement/placer.cc
@@ -7,12 +7,12 @@
 namespace kingcupshed::placement {
 
 struct Placer::State {
-  explicit State(Config config) : engine(std::move(config)) {}
+  explicit State(const Config& config) : engine(config) {}
   internal::Engine engine;
 };
 
-Placer::Placer(Config config)
-    : state_(std::make_unique<State>(std::move(config))) {}
+Placer::Placer(const Config& config)
+    : state_(std::make_unique<State>(config)) {}
 
 Placer::~Placer() = default;
 
--- a/src/kingcupshed/placement/placer.h
+++ b/src/kingcupshed/placement/placer.h
@@ -82,7 +82,7 @@
 /// that work that can be in time is not held up by work that can't.
 class Placer final : public dispatch::Core {
  public:
-  explicit Placer(Config config);
+  explicit Placer(const Config& config);
   ~Placer() override;
   Placer(const Placer&) = delete;
   Placer& operator=(const Placer&) = delete;
--- a/src/kingcupshed/placement/retry_budget.cc
+++ b/src/kingcupshed/placement/retry_budget.cc
@@ -47,8 +47,7 @@
 
 void RetryBudget::Advance(TimePoint now) noexcept {
   const Duration length = rule_.window / static_cast<int>(kSlots);
-  if (newest_start_ == TimePoint{} ||
-      now - newest_start_ > 2 * rule_.window) {
+  if (newest_start_ == TimePoint{} || now - newest_start_ > 2 * rule_.window) {
     slots_.fill({});
     newest_start_ = now;
     return;
--- a/src/kingcupshed/placement/service_model.cc
+++ b/src/kingcupshed/placement/service_model.cc
@@ -36,9 +36,9 @@
   }
   const double ratio = sample / work->second;
   if (crowded) {
-    crowding_ += kCrowdingGain *
-                 (std::clamp(ratio, 1.0 / kMostCrowding, kMostCrowding) -
-                  crowding_);
+    crowding_ +=
+        kCrowdingGain *
+        (std::clamp(ratio, 1.0 / kMostCrowding, kMostCrowding) - crowding_);
     return;
   }
   // One sample says little: failures are quick, and stalls are long.
--- a/src/kingcupshed/platform/documents.cc
+++ b/src/kingcupshed/platform/documents.cc
@@ -120,12 +120,10 @@
   route.timeout = *timeout;
   route.objective =
       FindSeconds(*object, "latency_goal_s").value_or(route.timeout);
-  route.max_attempts = static_cast<std::uint32_t>(
-      std::clamp<std::uint64_t>(FindCount(*object, "max_attempts").value_or(1),
-                                1, 100));
-  const std::uint64_t priority =
-      std::min(FindCount(*object, "priority").value_or(kLastPriority),
-               kLastPriority);
+  route.max_attempts = static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
+      FindCount(*object, "max_attempts").value_or(1), 1, 100));
+  const std::uint64_t priority = std::min(
+      FindCount(*object, "priority").value_or(kLastPriority), kLastPriority);
   route.rank = kRanks[priority];
   return route;
 }
@@ -226,8 +224,8 @@
   report.service = *service;
   report.zone = *zone;
   report.address = *address;
-  report.slots = static_cast<std::uint32_t>(
-      std::min<std::uint64_t>(*slots, 100'000));
+  report.slots =
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(*slots, 100'000));
   report.draining = state == "draining";
   report.warmup_left =
       FindSeconds(*status, "warmup_left_s").value_or(Duration::zero());
@@ -239,8 +237,7 @@
   return report;
 }
 
-std::string EncodeVm(const std::string& zone,
-                     const std::string& peer_address) {
+std::string EncodeVm(const std::string& zone, const std::string& peer_address) {
   return json::serialize(
       json::object{{"zone", zone}, {"peer_address", peer_address}});
 }
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -127,8 +127,7 @@
   const json::object* object = error ? nullptr : value.if_object();
   const json::array* items =
       object == nullptr ? nullptr : FindArray(*object, "items");
-  const auto end =
-      object == nullptr ? std::nullopt : FindCount(*object, "end");
+  const auto end = object == nullptr ? std::nullopt : FindCount(*object, "end");
   if (items == nullptr || !end) {
     return page;
   }
@@ -137,8 +136,7 @@
   more = FindFlag(*object, "has_more").value_or(false);
   for (const json::value& item : *items) {
     const json::object* entry = item.if_object();
-    const auto key =
-        entry == nullptr ? std::nullopt : FindText(*entry, "key");
+    const auto key = entry == nullptr ? std::nullopt : FindText(*entry, "key");
     const auto text =
         entry == nullptr ? std::nullopt : FindText(*entry, "value");
     const auto offset =
@@ -212,8 +210,8 @@
 asio::awaitable<KeyedPage> Store::ReadFrom(std::string topic,
                                            LogOffset from,
                                            Duration wait) const {
-  const http::FetchResult answer = co_await http::Fetch(
-      ReadRequest(std::move(topic), from, wait, kAnswerTimeout));
+  const http::FetchResult answer =
+      co_await http::Fetch(ReadRequest(topic, from, wait, kAnswerTimeout));
   KeyedPage page;
   page.status = StatusOf(answer);
   if (page.status != StoreStatus::kDone) {
@@ -222,7 +220,7 @@
   co_return DecodeRead(answer.body, from);
 }
 
-http::FetchRequest Store::ReadRequest(std::string topic,
+http::FetchRequest Store::ReadRequest(const std::string& topic,
                                       LogOffset from,
                                       Duration wait,
                                       Duration patience) const {
@@ -243,7 +241,7 @@
                                         Duration wait,
                                         Duration patience) const {
   const http::FetchResult answer =
-      co_await http::Fetch(ReadRequest(std::move(topic), from, wait, patience));
+      co_await http::Fetch(ReadRequest(topic, from, wait, patience));
   RawPage page;
   page.status = StatusOf(answer);
   if (page.status == StoreStatus::kDone) {
@@ -258,8 +256,8 @@
 asio::awaitable<RawAppend> Store::AppendRaw(
     std::string topic,
     std::vector<std::string> contents) const {
-  http::FetchRequest request = MakeRequest(
-      "/api/log-append?topic=" + topic + "&part=0", kAnswerTimeout);
+  http::FetchRequest request =
+      MakeRequest("/api/log-append?topic=" + topic + "&part=0", kAnswerTimeout);
   request.method = "POST";
   for (const std::string& content : contents) {
     request.body += EncodeRaw(content);
@@ -268,8 +266,7 @@
   RawAppend result;
   result.status = StatusOf(answer);
   if (answer.status == http::FetchStatus::kAnswered &&
-      !SaysNothingWasDone(answer.code) &&
-      result.status != StoreStatus::kDone) {
+      !SaysNothingWasDone(answer.code) && result.status != StoreStatus::kDone) {
     result.status = StoreStatus::kUnknown;
   }
   if (result.status != StoreStatus::kDone) {
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -76,17 +76,17 @@
 
   /// Returns the records from an offset on.
   /// @param wait Longest wait for a first record.
-  [[nodiscard]] boost::asio::awaitable<KeyedPage> ReadFrom(
-      std::string topic,
-      LogOffset from,
-      Duration wait) const;
+  [[nodiscard]] boost::asio::awaitable<KeyedPage> ReadFrom(std::string topic,
+                                                           LogOffset from,
+                                                           Duration wait) const;
 
   /// Returns the records of any topic from an offset on.
   /// @param patience Time beyond `wait` after which the read is given up.
-  [[nodiscard]] boost::asio::awaitable<RawPage> ReadRaw(std::string topic,
-                                                        LogOffset from,
-                                                        Duration wait,
-                                                        Duration patience) const;
+  [[nodiscard]] boost::asio::awaitable<RawPage> ReadRaw(
+      std::string topic,
+      LogOffset from,
+      Duration wait,
+      Duration patience) const;
 
   /// Appends records to any topic, all or none.
   [[nodiscard]] boost::asio::awaitable<RawAppend> AppendRaw(
@@ -102,7 +102,7 @@
  private:
   [[nodiscard]] http::FetchRequest MakeRequest(std::string path,
                                                Duration timeout) const;
-  [[nodiscard]] http::FetchRequest ReadRequest(std::string topic,
+  [[nodiscard]] http::FetchRequest ReadRequest(const std::string& topic,
                                                LogOffset from,
                                                Duration wait,
                                                Duration patience) const;
@@ -126,8 +126,7 @@
 [[nodiscard]] std::string EncodeRaw(const std::string& content);
 
 /// Encodes a record of a keyed topic; without a value it drops the key.
-[[nodiscard]] std::string EncodeRecord(
-    const std::string& key,
-    const std::optional<std::string>& value);
+[[nodiscard]] std::string EncodeRecord(const std::string& key,
+                                       const std::optional<std::string>& value);
 
 }  // namespace kingcupshed::platform
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -282,7 +282,7 @@
                    PlatformControl control,
                    std::size_t appends_per_second)
     : io_(io),
-      control_(control),
+      control_(std::move(control)),
       append_limit_(appends_per_second),
       targets_(deployment.at("targets")),
       vms_(deployment.at("vms")),
@@ -326,26 +326,25 @@
   PublishChanges(vms_, kVmTopic, &EncodeVm, now);
 }
 
-void Platform::PublishChanges(
-    LaggingList& list,
-    const std::string& topic,
-    std::string (*encode)(const json::object&, std::uint64_t),
-    Clock::time_point now) {
+void Platform::PublishChanges(LaggingList& list,
+                              const std::string& topic,
+                              std::string (*encode)(const json::object&,
+                                                    std::uint64_t),
+                              Clock::time_point now) {
   std::vector<std::string> contents;
   for (const json::value& value : list.TakeChanges(now)) {
     const json::object& entry = value.as_object();
-    contents.push_back(
-        MakeKeyed(std::string(entry.at("name").as_string()),
-                  encode(entry, ++list_sequence_)));
+    contents.push_back(MakeKeyed(std::string(entry.at("name").as_string()),
+                                 encode(entry, ++list_sequence_)));
   }
   if (!contents.empty()) {
-    Store(topic, std::move(contents), now);
+    Store(topic, contents, now);
   }
 }
 
 /// Appends records to a topic and wakes those that wait for them.
 void Platform::Store(const std::string& topic,
-                     std::vector<std::string> contents,
+                     const std::vector<std::string>& contents,
                      Clock::time_point now) {
   std::vector<StoredRecord> records;
   for (const std::string& content : contents) {
@@ -386,7 +385,7 @@
 Response Platform::Append(const Request& request) {
   const auto now = Clock::now();
   const std::string topic = QueryText(request, "topic");
-  auto contents = SplitRecords(request.body);
+  const auto contents = SplitRecords(request.body);
   if (topic.empty() || !contents) {
     return ErrorResponse(400, "a topic and whole records are needed");
   }
@@ -397,9 +396,9 @@
   ++counters_.appends;
   counters_.records += contents->size();
   const std::uint64_t first = store_.end(topic);
-  Store(topic, *std::move(contents), now);
-  Response response = JsonResponse(
-      json::object{{"offset", first}, {"end", store_.end(topic)}});
+  Store(topic, *contents, now);
+  Response response =
+      JsonResponse(json::object{{"offset", first}, {"end", store_.end(topic)}});
   const bool unlucky =
       std::uniform_real_distribution<>()(random_) < control_.lose_share;
   if (control_.lose_answers > 0 || unlucky) {
@@ -424,10 +423,9 @@
       more = true;
       break;
     }
-    items.push_back(
-        json::object{{"key", key},
-                     {"value", absl::Base64Escape(newest.value)},
-                     {"offset", newest.offset}});
+    items.push_back(json::object{{"key", key},
+                                 {"value", absl::Base64Escape(newest.value)},
+                                 {"offset", newest.offset}});
   }
   return JsonResponse(json::object{{"items", std::move(items)},
                                    {"has_more", more},
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -126,7 +126,7 @@
                                             std::uint64_t sequence),
                       Clock::time_point now);
   void Store(const std::string& topic,
-             std::vector<std::string> contents,
+             const std::vector<std::string>& contents,
              Clock::time_point now);
   boost::asio::awaitable<void> Sleep(Clock::duration duration);
   boost::asio::awaitable<void> WaitForChange(Clock::time_point deadline);
--- a/test/kingcupshed/catalog/target_catalog.cc
+++ b/test/kingcupshed/catalog/target_catalog.cc
@@ -25,7 +25,9 @@
   TargetCatalog catalog;
   TimePoint now{seconds(100)};
 
-  bool Report(std::uint64_t life, std::uint64_t sequence, bool draining,
+  bool Report(std::uint64_t life,
+              std::uint64_t sequence,
+              bool draining,
               std::uint64_t offset) {
     TargetReport report = MakeReport(life, sequence);
     report.draining = draining;
--- a/test/kingcupshed/daemon/store_follower.cc
+++ b/test/kingcupshed/daemon/store_follower.cc
@@ -112,6 +112,7 @@
 
 BOOST_AUTO_TEST_CASE(OneVmOfAZoneReadsForTheOthers) {
   std::vector<Vm*> vms;
+  vms.reserve(5);
   for (int at = 0; at < 5; ++at) {
     vms.push_back(&AddVm());
   }
--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -120,9 +120,10 @@
 
 BOOST_AUTO_TEST_CASE(PassesAnAnswerOnThatEndsWithItsConnection) {
   RoutedRig rig(1);
-  rig.Script({"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
-              "\r\nuntil the end",
-              true});
+  rig.Script(
+      {"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+       "\r\nuntil the end",
+       true});
   const std::string answer = rig.Exchange(Get());
   BOOST_TEST(answer.ends_with("until the end"));
   BOOST_TEST(Contains(answer, "Content-Length: 13"));
@@ -130,9 +131,10 @@
 
 BOOST_AUTO_TEST_CASE(ReplacesAnAnswerThatIsResetOnItsWay) {
   RoutedRig rig(3);
-  rig.Script({"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
-              "\r\nuntil the",
-              false, true});
+  rig.Script(
+      {"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+       "\r\nuntil the",
+       false, true});
   const std::string answer = rig.Exchange(Get());
   BOOST_TEST(answer.ends_with("fine"), answer);
 }
@@ -140,9 +142,10 @@
 // A second answer to an earlier call can come where the next is expected.
 BOOST_AUTO_TEST_CASE(SkipsAnswersToOtherCalls) {
   RoutedRig rig(1);
-  rig.Script({"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Stamp: x\r\n"
-              "Content-Length: 5\r\n\r\nwrong" +
-              RoutedRig::MakeAnswer("mine")});
+  rig.Script(
+      {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Stamp: x\r\n"
+       "Content-Length: 5\r\n\r\nwrong" +
+       RoutedRig::MakeAnswer("mine")});
   const std::string answer = rig.Exchange(Post());
   BOOST_TEST(answer.ends_with("mine"));
   BOOST_TEST(!Contains(answer, "wrong"));
@@ -171,7 +174,8 @@
 
 BOOST_AUTO_TEST_CASE(NeverUsesSurplusBytes) {
   RoutedRig rig(1);
-  rig.Script({RoutedRig::MakeAnswer("one") + "HTTP/1.1 200 OK\r\n"
+  rig.Script({RoutedRig::MakeAnswer("one") +
+              "HTTP/1.1 200 OK\r\n"
               "Request-Id: r2\r\nResponse-Stamp: s\r\n"
               "Content-Length: 5\r\n\r\nstale"});
   BOOST_TEST(rig.Exchange(Get("r1")).ends_with("one"));
--- a/test/kingcupshed/placement/placer.cc
+++ b/test/kingcupshed/placement/placer.cc
@@ -43,7 +43,7 @@
     placer.SetTargets(targets);
   }
 
-  dispatch::CallArrived MakeCall(std::uint64_t id) const {
+  [[nodiscard]] dispatch::CallArrived MakeCall(std::uint64_t id) const {
     dispatch::CallArrived call;
     call.call = CallId{id};
     call.service = kService;
@@ -78,8 +78,8 @@
         if (load != loads.end()) {
           report = load->second;
         }
-        for (Action& next : Handle(dispatch::LoadReported{
-                 probe->target, report, milliseconds(1)})) {
+        for (Action& next : Handle(dispatch::LoadReported{probe->target, report,
+                                                          milliseconds(1)})) {
           more.push_back(next);
         }
       }
@@ -107,8 +107,10 @@
     return {};
   }
 
-  void SetLoad(std::uint32_t target, std::uint32_t running,
-               std::uint32_t queued, double slowdown) {
+  void SetLoad(std::uint32_t target,
+               std::uint32_t running,
+               std::uint32_t queued,
+               double slowdown) {
     LoadReport& load = loads[TargetId{target}];
     load.in_flight = running;
     load.queued = queued;
@@ -362,12 +364,13 @@
     for (const Action& action : Handle(MakeCall(id))) {
       if (const auto* probe = std::get_if<dispatch::ProbeTarget>(&action)) {
         ++probed[probe->target];
-        (void)Handle(dispatch::LoadReported{
-            probe->target, [] {
-              LoadReport load;
-              load.slots = 3;
-              return load;
-            }(), milliseconds(1)});
+        (void)Handle(dispatch::LoadReported{probe->target,
+                                            [] {
+                                              LoadReport load;
+                                              load.slots = 3;
+                                              return load;
+                                            }(),
+                                            milliseconds(1)});
       }
     }
     now += milliseconds(1000);
--- a/test/kingcupshed/placement/retry_budget.cc
+++ b/test/kingcupshed/placement/retry_budget.cc
@@ -63,19 +63,16 @@
   }
   const auto count = [](const std::vector<TimePoint>& times, TimePoint from,
                         TimePoint to) {
-    return static_cast<double>(
-        std::count_if(times.begin(), times.end(), [&](TimePoint time) {
-          return time >= from && time < to;
-        }));
+    return static_cast<double>(std::count_if(
+        times.begin(), times.end(),
+        [&](TimePoint time) { return time >= from && time < to; }));
   };
   for (int step = 0; step < 500; ++step) {
     const TimePoint from = kStart + step * milliseconds(100);
     const TimePoint to = from + kRule.window;
-    const double requests =
-        std::max({count(calls, from, to),
-                  count(calls, from - kRule.window, from),
-                  count(calls, from - kRule.window / 2,
-                        to - kRule.window / 2)});
+    const double requests = std::max(
+        {count(calls, from, to), count(calls, from - kRule.window, from),
+         count(calls, from - kRule.window / 2, to - kRule.window / 2)});
     BOOST_TEST(count(repeats, from, to) <=
                kRule.ratio * requests + kRule.slack);
   }
--- a/test/kingcupshed/placement/target_model.cc
+++ b/test/kingcupshed/placement/target_model.cc
@@ -63,8 +63,8 @@
   ServiceModel service;
   TargetModel target(MakeFacts());
   target.Report(MakeLoad(0, 0, 5.0), kStart);
-  BOOST_TEST(ToMilliseconds(
-                 target.Expect(service, kWork, kStart).completion) == 300.0);
+  BOOST_TEST(ToMilliseconds(target.Expect(service, kWork, kStart).completion) ==
+             300.0);
   BOOST_TEST(ToMilliseconds(target.Expect(service, kWork, kStart + seconds(2))
                                 .completion) < 70.0);
 }
--- a/test/kingcupshed/platform/client.cc
+++ b/test/kingcupshed/platform/client.cc
@@ -73,8 +73,7 @@
   }
 
   ReadResult Read(std::uint64_t from) {
-    return Run(
-        client.Read("table", LogOffset{from}, Duration::zero()));
+    return Run(client.Read("table", LogOffset{from}, Duration::zero()));
   }
 
   asio::io_context io{1};
--- a/test/kingcupshed/platform/documents.cc
+++ b/test/kingcupshed/platform/documents.cc
@@ -31,7 +31,8 @@
   "info":{"service":"s1","version":"v1","zone":"z","slots":3},
   "status":{"state":"ready","seq":4,"warmup_left_s":1.5}})";
 
-std::string Replace(std::string text, const std::string& from,
+std::string Replace(std::string text,
+                    const std::string& from,
                     const std::string& to) {
   const std::size_t at = text.find(from);
   BOOST_REQUIRE(at != std::string::npos);
@@ -80,8 +81,8 @@
 BOOST_AUTO_TEST_CASE(TakesUnknownKindsForAtMostOnce) {
   const auto table = DecodeRoutes(Replace(kRoutes, "\"safe\"", "\"new\""));
   BOOST_REQUIRE(table.has_value());
-  BOOST_TEST((table->routes.front().semantics ==
-              table::Semantics::kAtMostOnce));
+  BOOST_TEST(
+      (table->routes.front().semantics == table::Semantics::kAtMostOnce));
 }
 
 BOOST_AUTO_TEST_CASE(ReadsATarget) {
--- a/test/kingcupshed/platform/store.cc
+++ b/test/kingcupshed/platform/store.cc
@@ -67,8 +67,8 @@
 
 BOOST_AUTO_TEST_CASE(RefusesWhatIsNoAnswer) {
   bool more = false;
-  BOOST_TEST((DecodeRead("short", LogOffset{0}).status ==
-              StoreStatus::kNotDone));
+  BOOST_TEST(
+      (DecodeRead("short", LogOffset{0}).status == StoreStatus::kNotDone));
   BOOST_TEST((DecodeNewest("[", more).status == StoreStatus::kNotDone));
   BOOST_TEST((DecodeNewest(R"({"items":3,"end":1})", more).status ==
               StoreStatus::kNotDone));
--- a/test/kingcupshed/route/route_index.cc
+++ b/test/kingcupshed/route/route_index.cc
@@ -26,7 +26,8 @@
   return RouteIndex(std::move(table));
 }
 
-std::string ServiceAt(const RouteIndex& index, std::string_view host,
+std::string ServiceAt(const RouteIndex& index,
+                      std::string_view host,
                       std::string_view path) {
   const Route* route = index.Find(host, path);
   return route == nullptr ? "none" : route->parts.front().service;
--- a/test/support/routed_rig.h
+++ b/test/support/routed_rig.h
@@ -124,9 +124,7 @@
     return requests_;
   }
   [[nodiscard]] http::SessionLimits& limits() { return limits_; }
-  [[nodiscard]] const timeline::Recorder& recorder() const {
-    return recorder_;
-  }
+  [[nodiscard]] const timeline::Recorder& recorder() const { return recorder_; }
 
  private:
   static std::string NextPrefix() {
@@ -187,8 +185,7 @@
     facts.slots = 3;
     facts_.push_back(facts);
     acceptors_.push_back(std::make_unique<asio::ip::tcp::acceptor>(
-        io_,
-        asio::ip::tcp::endpoint(asio::ip::make_address(host), port)));
+        io_, asio::ip::tcp::endpoint(asio::ip::make_address(host), port)));
     asio::co_spawn(io_, Accept(*acceptors_.back(), name), asio::detached);
   }
 
--- a/test/support/store_rig.h
+++ b/test/support/store_rig.h
@@ -34,7 +34,9 @@
           follower(io, store, std::move(place), false, MakeHooks()) {}
 
     daemon::StoreHooks MakeHooks() {
-      return {[this](route::RouteTable table) { versions.push_back(ToIndex(table.version)); },
+      return {[this](route::RouteTable table) {
+                versions.push_back(ToIndex(table.version));
+              },
               [this] { ++target_changes; },
               [this](std::size_t count) { fleet = count; },
               [this](std::string kind, const std::string&) {
@@ -94,8 +96,7 @@
   }
 
   void PublishText(const std::string& text) {
-    const auto status =
-        Run(operator_store_.Put("keyed.op", "config", text));
+    const auto status = Run(operator_store_.Put("keyed.op", "config", text));
     BOOST_REQUIRE(status == platform::StoreStatus::kDone);
   }
 
