--- a/src/kingcupshed/cli/main.cc
+++ b/src/kingcupshed/cli/main.cc
@@ -6,6 +6,7 @@
 #include <CLI/CLI.hpp>
 
 #include "kingcupshed/cli/commands.h"
+#include "kingcupshed/platform/environment.h"
 
 namespace {
 
@@ -27,7 +28,7 @@
   std::string settings_file;
   CLI::App* run = app.add_subcommand("run", "Run one balancing VM.");
   run->add_option("--settings", settings_file, "JSON settings")
-      ->envname("KINGCUPSHED_SETTINGS")
+      ->envname(kingcupshed::platform::kSettingsVariable)
       ->required();
   run->footer("Example:\n  kingcupshed run --settings vm.json");
   run->callback([&] {
