Judge the age of routes apart from that of targets; keep to the fleet's part of store calls

Ruled out: a poll that was never woken (it had none), a listing's end beyond its records (two listings). Now catalog::RouteWatch knows until when the routes are current: by their own reads, by a poll that waits at a sound store, or as another VM tells with its routes; beyond 1.8 s the VM reads them itself. Also: catalog::CallBudget keeps a VM to its part of the store's stated rates (half at once, half anew in each second).

--- /dev/null
+++ b/src/kingcupshed/catalog/route_watch.cc
@@ -0,0 +1,17 @@
+#include "kingcupshed/catalog/route_watch.h"
+
+namespace kingcupshed::catalog {
+
+namespace {
+
+/// Two rounds of questions to other VMs. With one read of the store, changes
+/// are in force within the 2.5 s that operators are promised.
+constexpr Duration kStaleAge = std::chrono::milliseconds(1800);
+
+}  // namespace
+
+bool RouteWatch::IsStale(TimePoint now) const noexcept {
+  return !current_ || now - *current_ > kStaleAge;
+}
+
+}  // namespace kingcupshed::catalog
--- /dev/null
+++ b/src/kingcupshed/daemon/route_follower.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "kingcupshed/catalog/route_watch.h"
+#include "kingcupshed/core/ids.h"
+#include "kingcupshed/core/log_record.h"
+#include "kingcupshed/platform/store.h"
+#include "kingcupshed/route/route_table.h"
+
+namespace kingcupshed::daemon {
+
+/// Keeps the newest published routes, read from the store or told by other
+/// VMs; only ever a higher version replaces the one that holds.
+class RouteFollower {
+ public:
+  /// What a route follower tells.
+  struct Hooks {
+    /// Routes of a higher version than any before are published.
+    std::function<void(route::RouteTable)> on_routes;
+    /// Routes were published that can't be used.
+    std::function<void()> on_unusable;
+  };
+
+  RouteFollower(const platform::Store& store, Hooks hooks);
+
+  /// Reads on from the last place, or everything when there is none.
+  /// @param wait Longest wait for a change; none to read what is there.
+  [[nodiscard]] boost::asio::awaitable<platform::StoreStatus> Read(
+      Duration wait);
+
+  /// Reads what is there, beside a poll that waits; nothing before the first
+  /// read.
+  [[nodiscard]] boost::asio::awaitable<void> Check();
+
+  /// Takes routes that another VM has.
+  /// @param text The routes as published; empty when they are not newer.
+  /// @param current When they were known to be current.
+  void TakeTold(const std::string& text, std::optional<TimePoint> current);
+
+  /// See `catalog::RouteWatch`.
+  [[nodiscard]] catalog::RouteWatch& watch() noexcept { return watch_; }
+  [[nodiscard]] const catalog::RouteWatch& watch() const noexcept {
+    return watch_;
+  }
+
+  /// Version in force; zero before the first one.
+  [[nodiscard]] std::uint64_t version() const noexcept {
+    return version_ ? ToIndex(*version_) : 0;
+  }
+
+  /// The routes in force as they were published.
+  [[nodiscard]] const std::string& text() const noexcept { return text_; }
+
+ private:
+  void Take(const platform::KeyedPage& page);
+  void TakeText(const std::string& text);
+
+  const platform::Store& store_;
+  Hooks hooks_;
+  catalog::RouteWatch watch_;
+  std::optional<TableVersion> version_;
+  std::string text_;
+  /// Offset from which to read on.
+  std::optional<LogOffset> next_;
+};
+
+}  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/catalog/call_budget.h"
 #include "kingcupshed/daemon/event_log.h"
 #include "kingcupshed/daemon/placement_metrics.h"
 #include "kingcupshed/daemon/runtime.h"
@@ -71,6 +72,10 @@
   return config;
 }
 
+catalog::CallLimits CallLimitsOf(const settings::Settings& settings) {
+  return {settings.store_reads_per_s, settings.store_writes_per_s};
+}
+
 /// One balancing VM on the platform: its parts and what connects them.
 class RoutedVm {
  public:
@@ -78,6 +83,7 @@
       : settings_(settings),
         runtime_(settings_),
         events_(runtime_),
+        store_calls_(CallLimitsOf(settings)),
         store_(settings.store),
         placer_(PlacementConfig(settings)),
         driver_(runtime_.io, placer_),
@@ -119,6 +125,7 @@
   settings::Settings settings_;
   Runtime runtime_;
   EventLog events_;
+  catalog::CallBudget store_calls_;
   platform::Store store_;
   placement::Placer placer_;
   http::DispatchDriver driver_;
@@ -142,6 +149,7 @@
           [this](std::size_t count) {
             vms_ = std::max<std::size_t>(1, count);
             placer_.SetFleetSize(vms_);
+            store_calls_.SetFleetSize(vms_);
           },
           [this](std::string kind, std::string detail) {
             events_.Note("store", std::move(kind), std::move(detail));
@@ -248,6 +256,7 @@
   settings_ = changed;
   events_.Note("settings", "settings_in_force", "changed file");
   store_.SetAddress(changed.store);
+  store_calls_.SetLimits(CallLimitsOf(changed));
   const placement::Config config = PlacementConfig(changed);
   placer_.SetRules(config.retries, config.probes_per_target_s);
   RenewTargets();
@@ -388,6 +397,11 @@
   placer_.SetObserver(
       [this](const placement::Decision& decision) { events_.Note(decision); });
   driver_.SetProbe([this](TargetId target) { Probe(target); });
+  store_.SetPacer([this](platform::CallSort sort) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    return sort == platform::CallSort::kRead ? store_calls_.SpendRead(now)
+                                             : store_calls_.SpendWrite(now);
+  });
   if (!follower_.Start()) {
     log::Write(log::Severity::kError, kPart,
                "The address " + settings.peer_listen + " could not be bound.");
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/daemon/topic_reader.h"
 #include "kingcupshed/platform/documents.h"
 #include "peer.pb.h"
 
@@ -33,8 +34,6 @@
 constexpr Duration kFreshAge = std::chrono::milliseconds(1600);
 /// A VM whose knowledge is older reads the store itself.
 constexpr Duration kStaleAge = std::chrono::milliseconds(2000);
-/// The same for routes, which change less often than readers do.
-constexpr Duration kRoutesStaleAge = std::chrono::milliseconds(3000);
 constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
@@ -52,6 +51,12 @@
   return std::chrono::steady_clock::now();
 }
 
+/// Rounds up, so that news never look newer than they are.
+std::uint64_t AgeInMs(TimePoint since, TimePoint now) {
+  return static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(now - since).count());
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(asio::io_context& io,
@@ -72,6 +77,11 @@
            [](const peer::wire::KeptAnswerRequest&, peer::wire::KeptAnswer&) {},
            [this](const peer::wire::PublishedRequest& request,
                   peer::wire::Published& answer) { Answer(request, answer); }}),
+      routes_(store_,
+              {hooks_.on_routes,
+               [this] {
+                 hooks_.on_event("routes_not_usable", "the ones in force stay");
+               }}),
       readers_(place_.vm),
       started_(Now()) {}
 
@@ -96,28 +106,6 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
-/// Reads on from an offset, or everything when there is none yet.
-/// @param take_early Gets what is known before everything is.
-asio::awaitable<KeyedPage> StoreFollower::Read(
-    std::string topic,
-    std::optional<LogOffset> next,
-    Duration wait,
-    std::function<void(const Page&)> take_early) {
-  if (next) {
-    co_return co_await store_.ReadFrom(std::move(topic), *next, wait);
-  }
-  // The end that a listing names may lie beyond the records that it shows. A
-  // second listing shows all that came before the end of the first.
-  const KeyedPage first = co_await store_.ReadNewest(topic);
-  if (first.status != StoreStatus::kDone) {
-    co_return first;
-  }
-  take_early(first);
-  KeyedPage second = co_await store_.ReadNewest(std::move(topic));
-  second.next = first.next;
-  co_return second;
-}
-
 Duration StoreFollower::Backoff() {
   return kShortestBackoff +
          FromSeconds(random_.Unit() * ToSeconds(kBackoffSpread));
@@ -134,79 +122,34 @@
   return !newest_read_ || now - *newest_read_ > kStaleAge;
 }
 
-/// Returns whether this VM is to read the store now. When the whole fleet has
+/// Returns whether this VM may read the store now. When the whole fleet has
 /// just started nobody waits for this VM, and it gives the others some time.
-bool StoreFollower::ShouldRead(TimePoint now) const {
+bool StoreFollower::MayRead(TimePoint now) const {
   const bool patient = first_start_ && now - started_ < kStartPatience;
-  if (patient && !listed_) {
-    return false;
-  }
-  return readers_.IsReader(now) || (IsStale(now) && !patient);
+  return !patient || (listed_ && readers_.IsReader(now));
+}
+
+/// Returns whether this VM is to read the targets from the store now.
+bool StoreFollower::ShouldRead(TimePoint now) const {
+  return MayRead(now) && (readers_.IsReader(now) || IsStale(now));
 }
 
 asio::awaitable<void> StoreFollower::FollowRoutes() {
-  const std::string topic(platform::kOperatorTopic);
   for (;;) {
     const bool reader = readers_.IsReader(Now());
-    const bool late = !newest_read_ || Now() - *newest_read_ > kRoutesStaleAge;
-    if (!ShouldRead(Now()) || (!reader && !late)) {
+    const bool stale = routes_.watch().IsStale(Now());
+    if (!MayRead(Now()) || (!reader && !stale)) {
       co_await Pause(kAdvanceInterval);
       continue;
     }
-    const KeyedPage page = co_await Read(
-        topic, routes_next_, reader ? kLongPoll : Duration::zero(),
-        [this](const Page& early) { TakeRoutes(early); });
-    if (page.status == StoreStatus::kDone) {
-      TakeRoutes(page);
-      routes_next_ = page.next;
-      if (!reader) {
-        co_await Pause(kTargetPace);
-      }
-      continue;
-    }
-    if (page.status == StoreStatus::kExpired) {
-      routes_next_.reset();
-      continue;
-    }
-    co_await Pause(Backoff());
-  }
-}
-
-/// Reads the routes without waiting while a waiting poll can't be relied on.
-asio::awaitable<void> StoreFollower::CheckRoutes() {
-  if (!routes_next_ || !health_.IsDoubtful(Now())) {
-    co_return;
-  }
-  const std::string topic(platform::kOperatorTopic);
-  const KeyedPage page =
-      co_await store_.ReadFrom(topic, *routes_next_, Duration::zero());
-  if (page.status == StoreStatus::kDone) {
-    TakeRoutes(page);
-  }
-}
-
-void StoreFollower::TakeRoutes(const KeyedPage& page) {
-  for (const platform::KeyedRecord& record : page.records) {
-    if (record.key == platform::kRoutesKey && record.value) {
-      TakeRoutesText(*record.value);
+    const StoreStatus status =
+        co_await routes_.Read(reader ? kLongPoll : Duration::zero());
+    if (status != StoreStatus::kDone && status != StoreStatus::kExpired) {
+      co_await Pause(Backoff());
     }
   }
 }
 
-void StoreFollower::TakeRoutesText(const std::string& text) {
-  auto routes = platform::DecodeRoutes(text);
-  if (!routes) {
-    hooks_.on_event("routes_not_usable", "the ones in force stay");
-    return;
-  }
-  if (version_ && routes->version <= *version_) {
-    return;
-  }
-  version_ = routes->version;
-  routes_text_ = text;
-  hooks_.on_routes(*std::move(routes));
-}
-
 asio::awaitable<void> StoreFollower::FollowTargets() {
   for (;;) {
     bool fresh = false;
@@ -230,11 +173,12 @@
   const std::string topic(platform::kTargetTopic);
   const bool whole = !targets_next_;
   const TimePoint asked = Now();
-  const KeyedPage page = co_await Read(topic, targets_next_, Duration::zero(),
-                                       [this, asked](const Page& early) {
-                                         TakeTargets(early, false);
-                                         newest_read_ = asked;
-                                       });
+  const KeyedPage page =
+      co_await ReadTopic(store_, topic, targets_next_, Duration::zero(),
+                         [this, asked](const Page& early) {
+                           TakeTargets(early, false);
+                           newest_read_ = asked;
+                         });
   if (page.status == StoreStatus::kExpired) {
     targets_next_.reset();
     co_return false;
@@ -253,7 +197,12 @@
   TakeTargets(page, whole);
   targets_next_ = page.next;
   newest_read_ = asked;
-  co_await CheckRoutes();
+  // While the store is in doubt, a poll that waits may never be woken.
+  if (health_.IsDoubtful(Now())) {
+    co_await routes_.Check();
+  } else {
+    routes_.watch().NoteStoreSound(asked);
+  }
   co_return true;
 }
 
@@ -312,7 +261,7 @@
   request.mutable_sender()->set_peer_address(place_.peer_address);
   request.set_targets_from(targets_next_ ? ToIndex(*targets_next_) : 0);
   request.set_vms_known(vms_.size());
-  request.set_routes_version(version_ ? ToIndex(*version_) : 0);
+  request.set_routes_version(routes_.version());
   asio::steady_timer answered(io_, asio::steady_timer::time_point::max());
   std::optional<bool> fresh;
   const TimePoint asked = Now();
@@ -321,7 +270,7 @@
       [&](const peer::wire::Published* news) {
         const bool usable = news != nullptr && news->known();
         if (usable) {
-          Take(*news);
+          Take(*news, asked);
           const Duration age = std::chrono::milliseconds(news->age_ms());
           newest_read_ =
               std::max(newest_read_.value_or(TimePoint{}), asked - age);
@@ -343,7 +292,8 @@
   co_return *fresh;
 }
 
-void StoreFollower::Take(const peer::wire::Published& news) {
+/// @param asked When the other VM was asked.
+void StoreFollower::Take(const peer::wire::Published& news, TimePoint asked) {
   KeyedPage page;
   page.status = StoreStatus::kDone;
   for (const peer::wire::StoreRecord& record : news.targets()) {
@@ -357,9 +307,11 @@
     TakeTargets(page, !targets_next_);
     targets_next_ = page.next;
   }
-  if (!news.routes().empty()) {
-    TakeRoutesText(news.routes());
-  }
+  routes_.TakeTold(news.routes(),
+                   news.has_routes_age_ms()
+                       ? std::optional(asked - std::chrono::milliseconds(
+                                                   news.routes_age_ms()))
+                       : std::nullopt);
   for (const peer::wire::VmPlace& vm : news.vms()) {
     TakeVm(vm.vm(), vm.zone(), vm.peer_address());
   }
@@ -376,9 +328,7 @@
     return;
   }
   answer.set_known(true);
-  answer.set_age_ms(static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now - *newest_read_)
-          .count()));
+  answer.set_age_ms(AgeInMs(*newest_read_, now));
   const LogOffset from{request.targets_from()};
   for (const catalog::CachedRecord& record : records_.Since(from)) {
     peer::wire::StoreRecord& out = *answer.add_targets();
@@ -388,8 +338,11 @@
     out.set_value(record.value.value_or(""));
   }
   answer.set_targets_next(ToIndex(*targets_next_));
-  if (version_ && ToIndex(*version_) > request.routes_version()) {
-    answer.set_routes(routes_text_);
+  if (routes_.version() > request.routes_version()) {
+    answer.set_routes(routes_.text());
+  }
+  if (const auto current = routes_.watch().current()) {
+    answer.set_routes_age_ms(AgeInMs(*current, now));
   }
   if (request.vms_known() < vms_.size()) {
     for (const auto& [name, place] : vms_) {
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -13,6 +13,7 @@
 #include "kingcupshed/catalog/store_health.h"
 #include "kingcupshed/catalog/target_catalog.h"
 #include "kingcupshed/core/random.h"
+#include "kingcupshed/daemon/route_follower.h"
 #include "kingcupshed/peer/client.h"
 #include "kingcupshed/peer/server.h"
 #include "kingcupshed/platform/store.h"
@@ -74,7 +75,6 @@
   using Page = platform::KeyedPage;
 
   boost::asio::awaitable<void> FollowRoutes();
-  boost::asio::awaitable<void> CheckRoutes();
   boost::asio::awaitable<void> FollowTargets();
   boost::asio::awaitable<bool> ReadTargets();
   boost::asio::awaitable<bool> AskOthers();
@@ -82,17 +82,10 @@
   boost::asio::awaitable<void> FollowVms();
   boost::asio::awaitable<void> AdvanceTargets();
   boost::asio::awaitable<void> Pause(Duration duration);
-  boost::asio::awaitable<Page> Read(
-      std::string topic,
-      std::optional<LogOffset> next,
-      Duration wait,
-      std::function<void(const Page&)> take_early);
   [[nodiscard]] Duration Backoff();
   void Answer(const peer::wire::PublishedRequest& request,
               peer::wire::Published& answer);
-  void Take(const peer::wire::Published& news);
-  void TakeRoutes(const Page& page);
-  void TakeRoutesText(const std::string& text);
+  void Take(const peer::wire::Published& news, TimePoint asked);
   void TakeTargets(const Page& page, bool whole);
   void TakeVm(const std::string& vm,
               const std::string& zone,
@@ -101,6 +94,7 @@
   void RenewReaders();
   void NoteStore(bool reached);
   [[nodiscard]] bool IsStale(TimePoint now) const;
+  [[nodiscard]] bool MayRead(TimePoint now) const;
   [[nodiscard]] bool ShouldRead(TimePoint now) const;
 
   boost::asio::io_context& io_;
@@ -112,6 +106,7 @@
   peer::Client client_;
   peer::Server server_;
 
+  RouteFollower routes_;
   catalog::TargetCatalog catalog_;
   catalog::RecordCache records_;
   catalog::ReaderChoice readers_;
@@ -123,11 +118,6 @@
   /// the one that it asked.
   std::optional<TimePoint> newest_read_;
   std::optional<LogOffset> targets_next_;
-  std::optional<TableVersion> version_;
-  /// The routes in force as they were published.
-  std::string routes_text_;
-  /// Offset from which routes are read on.
-  std::optional<LogOffset> routes_next_;
   bool store_reached_ = true;
   /// True once the other VMs were listed.
   bool listed_ = false;
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -5,6 +5,9 @@
 
 #include <absl/strings/escaping.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/endian/conversion.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -172,6 +175,17 @@
   return request;
 }
 
+asio::awaitable<http::FetchResult> Store::Send(
+    CallSort sort,
+    http::FetchRequest request) const {
+  const Duration wait = pacer_ ? pacer_(sort) : Duration::zero();
+  if (wait > Duration::zero()) {
+    asio::steady_timer turn(co_await asio::this_coro::executor, wait);
+    co_await turn.async_wait(asio::use_awaitable);
+  }
+  co_return co_await http::Fetch(std::move(request));
+}
+
 asio::awaitable<KeyedPage> Store::ReadNewest(std::string topic) const {
   KeyedPage whole;
   std::string after;
@@ -180,8 +194,8 @@
     if (!after.empty()) {
       path += "&after=" + after;
     }
-    const http::FetchResult answer =
-        co_await http::Fetch(MakeRequest(std::move(path), kAnswerTimeout));
+    const http::FetchResult answer = co_await Send(
+        CallSort::kRead, MakeRequest(std::move(path), kAnswerTimeout));
     if (StatusOf(answer) != StoreStatus::kDone) {
       co_return KeyedPage{StatusOf(answer), {}, {}};
     }
@@ -210,8 +224,8 @@
 asio::awaitable<KeyedPage> Store::ReadFrom(std::string topic,
                                            LogOffset from,
                                            Duration wait) const {
-  const http::FetchResult answer =
-      co_await http::Fetch(ReadRequest(topic, from, wait, kAnswerTimeout));
+  const http::FetchResult answer = co_await Send(
+      CallSort::kRead, ReadRequest(topic, from, wait, kAnswerTimeout));
   KeyedPage page;
   page.status = StatusOf(answer);
   if (page.status != StoreStatus::kDone) {
@@ -241,7 +255,7 @@
                                         Duration wait,
                                         Duration patience) const {
   const http::FetchResult answer =
-      co_await http::Fetch(ReadRequest(topic, from, wait, patience));
+      co_await Send(CallSort::kRead, ReadRequest(topic, from, wait, patience));
   RawPage page;
   page.status = StatusOf(answer);
   if (page.status == StoreStatus::kDone) {
@@ -262,7 +276,8 @@
   for (const std::string& content : contents) {
     request.body += EncodeRaw(content);
   }
-  const http::FetchResult answer = co_await http::Fetch(std::move(request));
+  const http::FetchResult answer =
+      co_await Send(CallSort::kWrite, std::move(request));
   RawAppend result;
   result.status = StatusOf(answer);
   if (answer.status == http::FetchStatus::kAnswered &&
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -59,14 +60,23 @@
   LogOffset first{};
 };
 
+/// What a call does, as far as the store limits it.
+enum class CallSort : std::uint8_t { kRead, kWrite };
+
 /// Client of the platform's metadata store.
 class Store {
  public:
+  /// Returns how long a call has to wait so that limits are kept.
+  using Pacer = std::function<Duration(CallSort sort)>;
+
   /// @param address Host and port of the store.
   /// @param source IP number to send from; empty for the system's choice.
   explicit Store(std::string address, std::string source = {})
       : address_(std::move(address)), source_(std::move(source)) {}
 
+  /// Sets what paces calls; without one they are sent at once.
+  void SetPacer(Pacer pacer) { pacer_ = std::move(pacer); }
+
   /// Changes the address for calls from now on.
   void SetAddress(std::string address) { address_ = std::move(address); }
 
@@ -107,8 +117,14 @@
                                                Duration wait,
                                                Duration patience) const;
 
+  /// Sends a call when its turn has come.
+  [[nodiscard]] boost::asio::awaitable<http::FetchResult> Send(
+      CallSort sort,
+      http::FetchRequest request) const;
+
   std::string address_;
   std::string source_;
+  Pacer pacer_;
 };
 
 /// Reads the body of an answer to a read; records that are cut short end it.
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -199,9 +199,10 @@
 constexpr int kMaxWindowSeconds = 3600;
 constexpr int kMaxProbes = 10'000;
 constexpr int kMaxRetryRatio = 10;
+constexpr int kMaxStoreCalls = 1'000'000;
 constexpr int kMaxRetrySlack = 1'000'000;
 
-constexpr std::array<Key, 22> kKeys{{
+constexpr std::array<Key, 24> kKeys{{
     {"first_start", &ReadFlag<&Settings::first_start>, false},
     {"vm", &ReadText<&Settings::vm>, true},
     {"zone", &ReadText<&Settings::zone>, true},
@@ -210,6 +211,10 @@
     {"peer_listen", &ReadAddress<&Settings::peer_listen>, true},
     {"platform", &ReadAddress<&Settings::platform>, false},
     {"store", &ReadAddress<&Settings::store>, false},
+    {"store_reads_per_s",
+     &ReadNumber<&Settings::store_reads_per_s, kMaxStoreCalls>, false},
+    {"store_writes_per_s",
+     &ReadNumber<&Settings::store_writes_per_s, kMaxStoreCalls>, false},
     {"pages_listen", &ReadAddress<&Settings::pages_listen>, false},
     {"retry_ratio", &ReadNumber<&Settings::retry_ratio, kMaxRetryRatio>, false},
     {"retry_window_s", &ReadSeconds<&Settings::retry_window, kMaxWindowSeconds>,
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -27,6 +27,11 @@
   /// Address of the platform's store. When given, the VM takes routes and
   /// targets from there, and the table, key and claim settings have no use.
   std::string store;
+  /// Calls a second that read from the store, all VMs together; zero for no
+  /// bound.
+  double store_reads_per_s = 0.0;
+  /// The same for calls that write.
+  double store_writes_per_s = 0.0;
   /// Address of the VM's own pages when they are not served to callers.
   std::string pages_listen;
   /// Repeated arrivals at a service that are allowed for each call.
--- /dev/null
+++ b/test/kingcupshed/catalog/route_watch.cc
@@ -0,0 +1,75 @@
+#include "kingcupshed/catalog/route_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace kingcupshed::catalog {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(Routes)
+
+BOOST_AUTO_TEST_CASE(AreStaleUntilTheyAreRead) {
+  RouteWatch watch;
+  BOOST_TEST(watch.IsStale(kStart));
+  watch.NoteRead(kStart);
+  BOOST_TEST(!watch.IsStale(kStart + milliseconds(1500)));
+  BOOST_TEST(watch.IsStale(kStart + milliseconds(2500)));
+}
+
+// A change must be in force 2.5 s after it was confirmed: the age at which the
+// routes are read, a question under way and a read have to fit.
+BOOST_AUTO_TEST_CASE(AreReadInTimeForTheBound) {
+  RouteWatch watch;
+  watch.NoteRead(kStart);
+  BOOST_TEST(watch.IsStale(kStart + milliseconds(2500) - milliseconds(600)));
+}
+
+BOOST_AUTO_TEST_CASE(StayCurrentWhileAPollWaitsAtASoundStore) {
+  RouteWatch watch;
+  watch.NoteRead(kStart);
+  watch.NotePollSent(kStart + seconds(1));
+  watch.NoteStoreSound(kStart + seconds(3));
+  BOOST_TEST(!watch.IsStale(kStart + seconds(4)));
+  BOOST_TEST(watch.IsStale(kStart + seconds(6)));
+}
+
+// The VM reads the targets for itself, but has no poll for routes.
+BOOST_AUTO_TEST_CASE(FreshTargetsSayNothingOfThem) {
+  RouteWatch watch;
+  watch.NoteRead(kStart);
+  watch.NoteStoreSound(kStart + seconds(1));
+  watch.NoteStoreSound(kStart + seconds(2));
+  BOOST_TEST(watch.IsStale(kStart + seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(APollThatEndedOrCameLaterSaysNothing) {
+  RouteWatch watch;
+  watch.NoteRead(kStart);
+  watch.NotePollSent(kStart + milliseconds(100));
+  watch.NotePollEnded();
+  watch.NoteStoreSound(kStart + seconds(2));
+  BOOST_TEST(watch.IsStale(kStart + seconds(3)));
+  watch.NotePollSent(kStart + seconds(4));
+  watch.NoteStoreSound(kStart + seconds(3));
+  BOOST_TEST(watch.IsStale(kStart + seconds(4)));
+}
+
+BOOST_AUTO_TEST_CASE(TakeOverTheAgeThatAnotherVmTells) {
+  RouteWatch watch;
+  watch.NoteTold(kStart);
+  watch.NoteTold(kStart - seconds(1));
+  BOOST_TEST((watch.current() == kStart));
+  BOOST_TEST(!watch.IsStale(kStart + seconds(1)));
+  BOOST_TEST(watch.IsStale(kStart + seconds(2)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace kingcupshed::catalog
--- a/test/kingcupshed/daemon/store_follower.cc
+++ b/test/kingcupshed/daemon/store_follower.cc
@@ -155,6 +155,29 @@
   }
 }
 
+// In a zone of many VMs that were replaced, those that are asked are gone. The
+// VM reads the targets for itself then, and did not look at the routes until it
+// had doubted all of them (lestage-passerelle-grown hunt-613b-3).
+BOOST_AUTO_TEST_CASE(ReadsRoutesAlsoWhenTheVmsItAsksAreGone) {
+  constexpr int kGone = 60;
+  for (int at = 0; at < kGone; ++at) {
+    PutVm("gone-" + std::to_string(at));
+  }
+  Vm& vm = AddVm();
+  RunUntil([&] { return Ready(vm) && vm.fleet > kGone; });
+  // The first version ends the poll that the VM sent before it knew of the
+  // others, and by the last one it no longer doubts the store.
+  constexpr std::uint64_t kLast = 6;
+  for (std::uint64_t version = 2; version <= kLast; ++version) {
+    Publish(version);
+    const std::uint64_t reads = Count("reads");
+    RunUntil([&] {
+      return vm.versions.back() == version || Count("reads") > reads + 5;
+    });
+    BOOST_REQUIRE(vm.versions.back() == version);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::daemon
--- a/test/support/store_rig.h
+++ b/test/support/store_rig.h
@@ -16,6 +16,7 @@
 
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/daemon/store_follower.h"
+#include "kingcupshed/platform/documents.h"
 #include "standin/http_service.h"
 #include "standin/platform.h"
 
@@ -106,6 +107,14 @@
     BOOST_REQUIRE(status == platform::StoreStatus::kDone);
   }
 
+  /// Registers a VM that does not run, in the zone of all.
+  void PutVm(const std::string& name) {
+    const auto status =
+        Run(operator_store_.Put(std::string(platform::kVmTopic), name,
+                                platform::EncodeVm("z", prefix_ + ".1:9")));
+    BOOST_REQUIRE(status == platform::StoreStatus::kDone);
+  }
+
   /// Changes the stand-in's faults and entries.
   void Switch(const std::string& changes) {
     BOOST_REQUIRE(Control("POST", changes).code == 200U);
