Model targets, VMs and callers in virtual time; compare policies by kingcupshed model

The placer that VMs run, the simple policies and one that sees every target as it is play one scenario; text, JSON or a page with plots says what became of each load and what its lost worth went to.

--- a/src/kingcupshed/cli/commands.h
+++ b/src/kingcupshed/cli/commands.h
@@ -65,4 +65,20 @@
 /// Prints the version in force on each VM.
 [[nodiscard]] ExitStatus ShowTableStatus(const StatusOptions& options);
 
+/// Options of `model`.
+struct ModelOptions {
+  std::string scenario;
+  /// Policies to compare; all when empty.
+  std::vector<std::string> policies;
+  std::uint64_t seed = 1;
+  /// Runs of each policy, with seeds from `seed` on.
+  std::uint32_t runs = 1;
+  /// `text`, `json` or `html`.
+  std::string format = "text";
+};
+
+/// Plays a scenario in virtual time under several policies and prints what
+/// became of its calls.
+[[nodiscard]] ExitStatus RunModel(const ModelOptions& options);
+
 }  // namespace kingcupshed::cli
--- a/src/kingcupshed/cli/main.cc
+++ b/src/kingcupshed/cli/main.cc
@@ -13,6 +13,7 @@
 using kingcupshed::cli::ExitStatus;
 
 constexpr const char* kVersion = "kingcupshed 0.1.0";
+constexpr std::uint32_t kMostModelRuns = 100;
 constexpr std::int64_t kMinTimeoutMs = 100;
 constexpr std::int64_t kMaxTimeoutMs = 600'000;
 
@@ -107,6 +108,24 @@
     command = [&] { return kingcupshed::cli::ShowTimeline(timeline_options); };
   });
 
+  kingcupshed::cli::ModelOptions model_options;
+  CLI::App* model = app.add_subcommand(
+      "model", "Play a scenario in virtual time and compare policies.");
+  model->add_option("scenario", model_options.scenario, "JSON scenario")
+      ->required();
+  model->add_option("--policy", model_options.policies,
+                    "Policy to play, several times for several; all without");
+  model->add_option("--seed", model_options.seed, "Seed of the first run");
+  model->add_option("--runs", model_options.runs, "Runs of each policy")
+      ->check(CLI::Range(1U, kMostModelRuns));
+  model->add_option("--format", model_options.format, "text, json or html");
+  model->footer(
+      "Example:\n  kingcupshed model examples/model/norrvik-burst.json"
+      " --policy placer --policy all_seeing --format html > burst.html");
+  model->callback([&] {
+    command = [&] { return kingcupshed::cli::RunModel(model_options); };
+  });
+
   kingcupshed::cli::StatusOptions status_options;
   const auto add_status_options = [&](CLI::App* status) {
     status
