Let few VMs read while the store is away; distrust polls from before a disturbance

Every VM then counted itself a reader, as each one that could not read asked two more, and on the return all 115 read what they had missed: some 0.3 MB each over a link of 60 Mbit/s between the regions. The new routes came into force between 0 and 3.3 s after the confirmation; 3.0 are allowed. Now a VM whose questions are answered takes its turn to read by its place among the VMs of its zone; questions that came through too many VMs make no further readers; a VM that the store refuses asks those behind it, not those before. A VM that starts again lists the others first and waits for its reader. Polls that waited while the store was in trouble are not trusted any more and last 12 s instead of 25. A test of zones of VMs in fake time failed first with three refused readers: they asked each other for good.

--- a/src/kingcupshed/catalog/reader_choice.cc
+++ b/src/kingcupshed/catalog/reader_choice.cc
@@ -17,6 +17,20 @@
 constexpr Duration kFirstDoubt = std::chrono::seconds(3);
 constexpr std::size_t kMostDoublings = 3;
 
+/// Time after the start of the whole fleet for which a VM rather waits for the
+/// readers: all VMs have registered and were listed by then.
+constexpr Duration kFirstPatience = std::chrono::milliseconds(3500);
+/// The same for a VM that starts again: the reader may have restarted with it
+/// and needs two listings.
+constexpr Duration kRestartPatience = std::chrono::milliseconds(1500);
+/// Time after a restart for the first listing of the other VMs.
+constexpr Duration kListPatience = std::chrono::milliseconds(700);
+/// A VM whose knowledge is older reads the store itself; two questions that
+/// fail fit into it.
+constexpr Duration kStaleAge = std::chrono::milliseconds(1800);
+/// Time after which the next VM in the order takes its turn as well.
+constexpr Duration kTurnInterval = std::chrono::milliseconds(700);
+
 std::uint64_t OrderOf(const std::string& vm) {
   return XXH64(vm.data(), vm.size(), 0);
 }
@@ -36,13 +50,16 @@
 
 std::vector<std::string> ReaderChoice::Candidates(TimePoint now) const {
   std::vector<std::string> candidates;
-  for (const std::string& vm : order_) {
-    const bool doubted = IsDoubted(vm, now);
-    // The store may refuse this VM alone; then those behind it can help.
-    if ((vm == self_ && !doubted) || candidates.size() >= kMostAsked) {
+  // The store may refuse this VM alone, and those before it asked this one
+  // since it refuses them; then those behind it can help.
+  const bool refused = IsDoubted(self_, now);
+  const std::size_t first = refused ? Place() + 1 : 0;
+  for (std::size_t at = 0; at < order_.size(); ++at) {
+    const std::string& vm = order_[(first + at) % order_.size()];
+    if (vm == self_ || candidates.size() >= kMostAsked) {
       break;
     }
-    if (vm != self_ && !doubted) {
+    if (!IsDoubted(vm, now)) {
       candidates.push_back(vm);
     }
   }
@@ -69,9 +86,49 @@
   doubts_.erase(vm);
 }
 
+void ReaderChoice::NoteAsked(std::uint32_t depth, TimePoint now) noexcept {
+  if (depth < asked_.size()) {
+    asked_[depth] = now;
+  }
+}
+
+std::uint32_t ReaderChoice::DepthOfQuestions(TimePoint now) const noexcept {
+  for (std::uint32_t depth = 0; depth < asked_.size(); ++depth) {
+    if (asked_[depth] != TimePoint{} && now - asked_[depth] < kAskedFor) {
+      return depth + 1;
+    }
+  }
+  return 0;
+}
+
+std::size_t ReaderChoice::Place() const {
+  return static_cast<std::size_t>(
+      std::find(order_.begin(), order_.end(), self_) - order_.begin());
+}
+
+bool ReaderChoice::IsTurn(const ReadFacts& facts, TimePoint now) const {
+  const Duration patience =
+      facts.first_start ? kFirstPatience : kRestartPatience;
+  if (!facts.listed &&
+      facts.up < (facts.first_start ? kFirstPatience : kListPatience)) {
+    return false;
+  }
+  if (IsReader(now)) {
+    return true;
+  }
+  const bool starting = facts.up < patience;
+  if (starting && (facts.first_start || facts.answered)) {
+    return false;
+  }
+  if (!facts.answered) {
+    return starting || facts.age > kStaleAge;
+  }
+  const auto turns = (facts.age - kStaleAge) / kTurnInterval;
+  return facts.age > kStaleAge && static_cast<std::size_t>(turns) >= Place();
+}
+
 bool ReaderChoice::IsReader(TimePoint now) const {
-  const bool asked = asked_ != TimePoint{} && now - asked_ < kAskedFor;
-  return asked || Candidates(now).empty();
+  return DepthOfQuestions(now) > 0 || Candidates(now).empty();
 }
 
 }  // namespace kingcupshed::catalog
--- a/src/kingcupshed/catalog/reader_choice.h
+++ b/src/kingcupshed/catalog/reader_choice.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -10,6 +12,21 @@
 
 namespace kingcupshed::catalog {
 
+/// How a VM stands that may read the store, for `ReaderChoice::IsTurn`.
+struct ReadFacts {
+  /// Time since the VM started.
+  Duration up{};
+  /// True when the whole fleet starts for the first time.
+  bool first_start = false;
+  /// True once the VM has listed the others.
+  bool listed = false;
+  /// True when one of the VMs that were asked last did answer, whatever it
+  /// knew.
+  bool answered = false;
+  /// Age of what the VM knows; its time up when it knows nothing.
+  Duration age{};
+};
+
 /// Chooses which VM of a zone reads the store for the others.
 ///
 /// All VMs of a zone order themselves the same way by a hash of their names,
@@ -38,25 +55,42 @@
   /// A VM answered with news that are fresh.
   void Trust(const std::string& vm);
 
-  /// Another VM asked this one.
-  void NoteAsked(TimePoint now) noexcept { asked_ = now; }
+  /// Another VM asked this one, which reads for it for a while. Questions that
+  /// came through too many VMs that can't read don't count: while the store is
+  /// away they would make all VMs read.
+  /// @param depth VMs that the question came through.
+  void NoteAsked(std::uint32_t depth, TimePoint now) noexcept;
 
-  /// Returns true when this VM is to read the store.
+  /// Returns the depth of the questions that this VM asks.
+  [[nodiscard]] std::uint32_t DepthOfQuestions(TimePoint now) const noexcept;
+
+  /// Returns true when this VM is to read the store for others.
   [[nodiscard]] bool IsReader(TimePoint now) const;
 
+  /// Returns true when this VM is to read the store now.
+  ///
+  /// While the store is away all news grow old, and on its return the readers
+  /// have them first. If all VMs read then, their answers would fill the link
+  /// between the regions for seconds. So a VM whose questions are answered
+  /// leaves the reading to others, and takes its turn by its place among them.
+  [[nodiscard]] bool IsTurn(const ReadFacts& facts, TimePoint now) const;
+
  private:
   struct Doubts {
     TimePoint until{};
     std::size_t count = 0;
   };
 
+  /// Returns the place of this VM in the order, from zero.
+  [[nodiscard]] std::size_t Place() const;
   [[nodiscard]] bool IsDoubted(const std::string& vm, TimePoint now) const;
 
   std::string self_;
   /// In the order in which they are asked.
   std::vector<std::string> order_;
   std::map<std::string, Doubts> doubts_;
-  TimePoint asked_{};
+  /// Newest question by its depth.
+  std::array<TimePoint, 3> asked_{};
 };
 
 }  // namespace kingcupshed::catalog
--- a/src/kingcupshed/catalog/route_watch.h
+++ b/src/kingcupshed/catalog/route_watch.h
@@ -25,6 +25,10 @@
   /// The poll ended, with or without an answer.
   void NotePollEnded() noexcept { poll_sent_.reset(); }
 
+  /// The store was slow or failed: a poll that waits there now may never be
+  /// woken, and says nothing any more.
+  void NoteStoreTrouble() noexcept { poll_sent_.reset(); }
+
   /// The store answered another call without delay: a poll that was sent
   /// before that call would have told of a change.
   /// @param sent When the other call was sent.
--- a/src/kingcupshed/catalog/store_health.cc
+++ b/src/kingcupshed/catalog/store_health.cc
@@ -14,15 +14,17 @@
 
 }  // namespace
 
-void StoreHealth::NoteAnswer(Duration elapsed, TimePoint now) noexcept {
+bool StoreHealth::NoteAnswer(Duration elapsed, TimePoint now) noexcept {
   // A VM that begins to read can't tell a slow store from a far one, and an
   // answer that is much faster than any before shows that those were slow.
   const bool first = !fastest_;
   const bool recovered = !first && elapsed + kSlow < *fastest_;
   fastest_ = std::min(fastest_.value_or(elapsed), elapsed);
-  if (first || recovered || elapsed > *fastest_ + kSlow) {
+  const bool trouble = first || recovered || elapsed > *fastest_ + kSlow;
+  if (trouble) {
     trouble_ = now;
   }
+  return !trouble;
 }
 
 bool StoreHealth::IsDoubtful(TimePoint now) const noexcept {
--- a/src/kingcupshed/catalog/store_health.h
+++ b/src/kingcupshed/catalog/store_health.h
@@ -14,7 +14,8 @@
  public:
   /// A short read was answered.
   /// @param elapsed Time from the first packet to the whole answer.
-  void NoteAnswer(Duration elapsed, TimePoint now) noexcept;
+  /// @return False when it was slow.
+  bool NoteAnswer(Duration elapsed, TimePoint now) noexcept;
 
   /// A short read failed.
   void NoteFailure(TimePoint now) noexcept { trouble_ = now; }
--- a/src/kingcupshed/daemon/route_follower.cc
+++ b/src/kingcupshed/daemon/route_follower.cc
@@ -28,10 +28,12 @@
   if (waits) {
     watch_.NotePollSent(sent);
   }
+  reading_ = true;
   std::string topic(platform::kOperatorTopic);
   const KeyedPage page =
       co_await ReadTopic(store_, std::move(topic), next_, wait,
                          [this](const KeyedPage& early) { Take(early); });
+  reading_ = false;
   watch_.NotePollEnded();
   if (page.status == StoreStatus::kDone) {
     Take(page);
--- a/src/kingcupshed/daemon/route_follower.h
+++ b/src/kingcupshed/daemon/route_follower.h
@@ -43,6 +43,9 @@
   /// @param current When they were known to be current.
   void TakeTold(const std::string& text, std::optional<TimePoint> current);
 
+  /// Returns true while a read is under way.
+  [[nodiscard]] bool reading() const noexcept { return reading_; }
+
   /// See `catalog::RouteWatch`.
   [[nodiscard]] catalog::RouteWatch& watch() noexcept { return watch_; }
   [[nodiscard]] const catalog::RouteWatch& watch() const noexcept {
@@ -68,6 +71,7 @@
   std::string text_;
   /// Offset from which to read on.
   std::optional<LogOffset> next_;
+  bool reading_ = false;
 };
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -22,8 +22,9 @@
 using platform::KeyedPage;
 using platform::StoreStatus;
 
-/// Longest wait of a poll for routes; the store allows 30 s.
-constexpr Duration kLongPoll = std::chrono::seconds(25);
+/// Longest wait of a poll for routes: it costs a call each time, and after a
+/// disturbance of the store the one that waits can't be relied on.
+constexpr Duration kLongPoll = std::chrono::seconds(12);
 /// Time between two reads of the targets, and between two questions to the VM
 /// that reads. Both together stay within the time in which a leaving target
 /// must get no more work, with room for a question that fails.
@@ -32,14 +33,14 @@
 constexpr double kPaceSpread = 0.2;
 /// What others read is used up to this age; beyond, another VM is asked.
 constexpr Duration kFreshAge = std::chrono::milliseconds(1600);
-/// A VM whose knowledge is older reads the store itself.
-constexpr Duration kStaleAge = std::chrono::milliseconds(2000);
 constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
-/// Time after the start for which a VM rather asks others than reads itself.
-constexpr Duration kStartPatience = std::chrono::milliseconds(3500);
+/// Time between the questions of a VM that knows nothing yet.
+constexpr Duration kStartBackoff = std::chrono::milliseconds(80);
+/// Age of the news after which a failed question counts as an outage.
+constexpr Duration kOutageAge = std::chrono::milliseconds(2000);
 /// The VMs of a fleet that starts for the first time have registered by then.
 constexpr Duration kFirstListDelay = std::chrono::milliseconds(700);
 /// VMs start together and list each other again once all have registered.
@@ -91,6 +92,7 @@
   }
   asio::co_spawn(io_, FollowRoutes(), asio::detached);
   asio::co_spawn(io_, FollowTargets(), asio::detached);
+  asio::co_spawn(io_, Register(), asio::detached);
   asio::co_spawn(io_, FollowVms(), asio::detached);
   asio::co_spawn(io_, AdvanceTargets(), asio::detached);
   return true;
@@ -118,27 +120,24 @@
   store_reached_ = reached;
 }
 
-bool StoreFollower::IsStale(TimePoint now) const {
-  return !newest_read_ || now - *newest_read_ > kStaleAge;
-}
-
-/// Returns whether this VM may read the store now. When the whole fleet has
-/// just started nobody waits for this VM, and it gives the others some time.
-bool StoreFollower::MayRead(TimePoint now) const {
-  const bool patient = first_start_ && now - started_ < kStartPatience;
-  return !patient || (listed_ && readers_.IsReader(now));
-}
-
-/// Returns whether this VM is to read the targets from the store now.
-bool StoreFollower::ShouldRead(TimePoint now) const {
-  return MayRead(now) && (readers_.IsReader(now) || IsStale(now));
+/// Returns whether this VM is to read the store now.
+/// @param known When what it knows was current, if it knows anything.
+bool StoreFollower::IsTurn(TimePoint now,
+                           std::optional<TimePoint> known) const {
+  catalog::ReadFacts facts;
+  facts.up = now - started_;
+  facts.first_start = first_start_;
+  facts.listed = listed_;
+  facts.answered = answered_;
+  facts.age = known ? now - *known : facts.up;
+  return readers_.IsTurn(facts, now);
 }
 
 asio::awaitable<void> StoreFollower::FollowRoutes() {
   for (;;) {
     const bool reader = readers_.IsReader(Now());
     const bool stale = routes_.watch().IsStale(Now());
-    if (!MayRead(Now()) || (!reader && !stale)) {
+    if (!IsTurn(Now(), routes_.watch().current()) || (!reader && !stale)) {
       co_await Pause(kAdvanceInterval);
       continue;
     }
@@ -156,19 +155,30 @@
     if (!readers_.IsReader(Now()) || readers_.DoubtsSelf(Now())) {
       fresh = co_await AskOthers();
     }
-    if (!fresh && ShouldRead(Now())) {
+    if (!fresh && IsTurn(Now(), newest_read_)) {
       fresh = co_await ReadTargets();
     }
+    co_await CheckRoutes();
     if (fresh) {
       co_await Pause(
           FromSeconds((1.0 - kPaceSpread / 2 + kPaceSpread * random_.Unit()) *
                       ToSeconds(kTargetPace)));
     } else {
-      co_await Pause(Backoff());
+      co_await Pause(newest_read_ ? Backoff() : kStartBackoff);
     }
   }
 }
 
+/// Reads the routes beside a poll that can't be relied on: sent before the
+/// store's last disturbance, or silent.
+asio::awaitable<void> StoreFollower::CheckRoutes() {
+  const TimePoint now = Now();
+  const bool doubtful = readers_.IsReader(now) && health_.IsDoubtful(now);
+  if (routes_.reading() && (doubtful || routes_.watch().IsStale(now))) {
+    co_await routes_.Check();
+  }
+}
+
 asio::awaitable<bool> StoreFollower::ReadTargets() {
   const std::string topic(platform::kTargetTopic);
   const bool whole = !targets_next_;
@@ -187,22 +197,23 @@
   if (page.status != StoreStatus::kDone) {
     catalog_.NoteOutage(Now());
     health_.NoteFailure(Now());
+    routes_.watch().NoteStoreTrouble();
     readers_.Doubt(place_.vm, Now());
     co_return false;
   }
   readers_.Trust(place_.vm);
+  DoubtOutdated();
   catalog_.NoteRead(Now());
   // A first listing takes two calls.
-  health_.NoteAnswer(whole ? (Now() - asked) / 2 : Now() - asked, Now());
+  const Duration elapsed = whole ? (Now() - asked) / 2 : Now() - asked;
+  if (health_.NoteAnswer(elapsed, Now())) {
+    routes_.watch().NoteStoreSound(asked);
+  } else {
+    routes_.watch().NoteStoreTrouble();
+  }
   TakeTargets(page, whole);
   targets_next_ = page.next;
   newest_read_ = asked;
-  // While the store is in doubt, a poll that waits may never be woken.
-  if (health_.IsDoubtful(Now())) {
-    co_await routes_.Check();
-  } else {
-    routes_.watch().NoteStoreSound(asked);
-  }
   co_return true;
 }
 
@@ -234,26 +245,41 @@
 /// Asks other VMs for what they read, one after the other.
 /// @return True when one had fresh news.
 asio::awaitable<bool> StoreFollower::AskOthers() {
+  outdated_.clear();
   for (const std::string& vm : readers_.Candidates(Now())) {
-    const bool fresh = co_await Ask(vm);
-    if (fresh) {
+    const AskResult result = co_await Ask(vm);
+    if (result == AskResult::kFresh) {
       readers_.Trust(vm);
+      DoubtOutdated();
+      answered_ = true;
       co_return true;
     }
-    if (!first_start_ || Now() - started_ >= kStartPatience) {
+    if (result == AskResult::kSilent) {
       readers_.Doubt(vm, Now());
+    } else {
+      outdated_.push_back(vm);
     }
   }
-  if (IsStale(Now())) {
+  answered_ = !outdated_.empty();
+  if (!newest_read_ || Now() - *newest_read_ > kOutageAge) {
     catalog_.NoteOutage(Now());
   }
   co_return false;
 }
 
-asio::awaitable<bool> StoreFollower::Ask(std::string vm) {
+/// Doubts the VMs that had old news, now that there are fresh ones: the store
+/// is not away, but they can't read it.
+void StoreFollower::DoubtOutdated() {
+  for (const std::string& vm : outdated_) {
+    readers_.Doubt(vm, Now());
+  }
+  outdated_.clear();
+}
+
+asio::awaitable<StoreFollower::AskResult> StoreFollower::Ask(std::string vm) {
   const auto place = vms_.find(vm);
   if (place == vms_.end()) {
-    co_return false;
+    co_return AskResult::kSilent;
   }
   peer::wire::PublishedRequest request;
   request.mutable_sender()->set_vm(place_.vm);
@@ -261,35 +287,34 @@
   request.mutable_sender()->set_peer_address(place_.peer_address);
   request.set_targets_from(targets_next_ ? ToIndex(*targets_next_) : 0);
   request.set_vms_known(vms_.size());
+  request.set_depth(readers_.DepthOfQuestions(Now()));
   request.set_routes_version(routes_.version());
   asio::steady_timer answered(io_, asio::steady_timer::time_point::max());
-  std::optional<bool> fresh;
+  std::optional<AskResult> result;
   const TimePoint asked = Now();
   client_.FetchPublished(
       place->second.peer_address, request, kAskTimeout,
       [&](const peer::wire::Published* news) {
-        const bool usable = news != nullptr && news->known();
-        if (usable) {
+        result = news == nullptr ? AskResult::kSilent : AskResult::kNothing;
+        if (news != nullptr && news->known()) {
           Take(*news, asked);
           const Duration age = std::chrono::milliseconds(news->age_ms());
           newest_read_ =
               std::max(newest_read_.value_or(TimePoint{}), asked - age);
-          fresh = age <= kFreshAge;
-        } else {
-          fresh = false;
+          result = age <= kFreshAge ? AskResult::kFresh : AskResult::kOld;
         }
         answered.cancel();
       });
   // The client answers each question, so the references above stay valid.
-  while (!fresh) {
+  while (!result) {
     boost::system::error_code error;
     co_await answered.async_wait(
         asio::redirect_error(asio::use_awaitable, error));
   }
-  if (*fresh) {
+  if (*result == AskResult::kFresh) {
     catalog_.NoteRead(Now());
   }
-  co_return *fresh;
+  co_return *result;
 }
 
 /// @param asked When the other VM was asked.
@@ -321,7 +346,7 @@
 void StoreFollower::Answer(const peer::wire::PublishedRequest& request,
                            peer::wire::Published& answer) {
   const TimePoint now = Now();
-  readers_.NoteAsked(now);
+  readers_.NoteAsked(request.depth(), now);
   const auto& sender = request.sender();
   TakeVm(sender.vm(), sender.zone(), sender.peer_address());
   if (!newest_read_ || !targets_next_) {
@@ -364,17 +389,22 @@
   }
 }
 
-asio::awaitable<void> StoreFollower::FollowVms() {
-  const std::string topic(platform::kVmTopic);
+/// Tells the others where this VM is.
+asio::awaitable<void> StoreFollower::Register() {
   const std::string place =
       platform::EncodeVm(place_.zone, place_.peer_address);
   for (;;) {
-    const StoreStatus put = co_await store_.Put(topic, place_.vm, place);
+    const StoreStatus put =
+        co_await store_.Put(std::string(platform::kVmTopic), place_.vm, place);
     if (put == StoreStatus::kDone) {
-      break;
+      co_return;
     }
     co_await Pause(Backoff());
   }
+}
+
+asio::awaitable<void> StoreFollower::FollowVms() {
+  const std::string topic(platform::kVmTopic);
   Duration pause = first_start_ ? kFirstListDelay : Duration::zero();
   for (;;) {
     co_await Pause(
@@ -385,12 +415,13 @@
       continue;
     }
     const KeyedPage page = co_await store_.ReadNewest(topic);
-    const bool listed = page.status == StoreStatus::kDone;
-    if (listed) {
-      TakeVms(page);
+    if (page.status != StoreStatus::kDone) {
+      pause = Backoff();
+      continue;
     }
-    pause = listed && listed_ ? kListInterval : kListDelay;
-    listed_ = listed_ || listed;
+    TakeVms(page);
+    pause = listed_ ? kListInterval : kListDelay;
+    listed_ = true;
   }
 }
 
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -74,11 +75,24 @@
  private:
   using Page = platform::KeyedPage;
 
+  /// What came of a question to another VM.
+  enum class AskResult : std::uint8_t {
+    kFresh,
+    /// It answered, with news that are old.
+    kOld,
+    /// It answered that it knows nothing yet.
+    kNothing,
+    kSilent,
+  };
+
   boost::asio::awaitable<void> FollowRoutes();
   boost::asio::awaitable<void> FollowTargets();
+  boost::asio::awaitable<void> CheckRoutes();
   boost::asio::awaitable<bool> ReadTargets();
   boost::asio::awaitable<bool> AskOthers();
-  boost::asio::awaitable<bool> Ask(std::string vm);
+  boost::asio::awaitable<AskResult> Ask(std::string vm);
+  void DoubtOutdated();
+  boost::asio::awaitable<void> Register();
   boost::asio::awaitable<void> FollowVms();
   boost::asio::awaitable<void> AdvanceTargets();
   boost::asio::awaitable<void> Pause(Duration duration);
@@ -93,9 +107,8 @@
   void TakeVms(const Page& page);
   void RenewReaders();
   void NoteStore(bool reached);
-  [[nodiscard]] bool IsStale(TimePoint now) const;
-  [[nodiscard]] bool MayRead(TimePoint now) const;
-  [[nodiscard]] bool ShouldRead(TimePoint now) const;
+  [[nodiscard]] bool IsTurn(TimePoint now,
+                            std::optional<TimePoint> known) const;
 
   boost::asio::io_context& io_;
   const platform::Store& store_;
@@ -121,6 +134,10 @@
   bool store_reached_ = true;
   /// True once the other VMs were listed.
   bool listed_ = false;
+  /// True when one of the VMs that were asked last did answer.
+  bool answered_ = false;
+  /// Those of them that had no fresh news.
+  std::vector<std::string> outdated_;
 };
 
 }  // namespace kingcupshed::daemon
--- a/test/kingcupshed/catalog/reader_choice.cc
+++ b/test/kingcupshed/catalog/reader_choice.cc
@@ -1,5 +1,7 @@
 #include "kingcupshed/catalog/reader_choice.h"
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 namespace kingcupshed::catalog {
@@ -19,6 +21,130 @@
   return choices;
 }
 
+/// VMs of one availability zone that follow a store, in rounds of fake time.
+class Zone {
+ public:
+  explicit Zone(std::size_t count) {
+    std::vector<std::string> names;
+    for (std::size_t at = 0; at < count; ++at) {
+      names.push_back("vm-" + std::to_string(at));
+    }
+    for (const std::string& name : names) {
+      vms_.push_back({ReaderChoice(name), name, kStart, false, false});
+      vms_.back().choice.SetVms(names);
+    }
+  }
+
+  /// VMs that the store refuses, by their place in the order of readers.
+  void Refuse(std::size_t first_places) {
+    refused_.clear();
+    std::vector<std::string> order;
+    for (std::size_t place = 0; place < first_places; ++place) {
+      for (const Vm& vm : vms_) {
+        const auto before = vm.choice.Candidates(kStart);
+        if (before.size() == std::min<std::size_t>(place, 2) &&
+            std::count(order.begin(), order.end(), vm.name) == 0 &&
+            (place < 2 || Place(vm) == place)) {
+          order.push_back(vm.name);
+          break;
+        }
+      }
+    }
+    refused_ = order;
+  }
+
+  /// Lets each VM ask, and read when it is its turn.
+  void Round(bool store_up) {
+    now_ += kRound;
+    for (Vm& vm : vms_) {
+      vm.read = false;
+      if ((!vm.choice.IsReader(now_) || vm.choice.DoubtsSelf(now_)) &&
+          Ask(vm)) {
+        continue;
+      }
+      ReadFacts facts;
+      facts.up = std::chrono::minutes(1);
+      facts.listed = true;
+      facts.answered = vm.answered;
+      facts.age = now_ - vm.news;
+      if (!vm.choice.IsTurn(facts, now_)) {
+        continue;
+      }
+      vm.read = true;
+      const bool refused =
+          std::count(refused_.begin(), refused_.end(), vm.name) > 0;
+      if (store_up && !refused) {
+        vm.news = now_;
+        vm.choice.Trust(vm.name);
+      } else {
+        vm.choice.Doubt(vm.name, now_);
+      }
+    }
+  }
+
+  [[nodiscard]] int reading() const {
+    return static_cast<int>(std::count_if(
+        vms_.begin(), vms_.end(), [](const Vm& vm) { return vm.read; }));
+  }
+
+  [[nodiscard]] Duration OldestNews() const {
+    Duration oldest{};
+    for (const Vm& vm : vms_) {
+      oldest = std::max(oldest, now_ - vm.news);
+    }
+    return oldest;
+  }
+
+  static constexpr Duration kRound = std::chrono::milliseconds(450);
+
+ private:
+  struct Vm {
+    ReaderChoice choice;
+    std::string name;
+    TimePoint news{};
+    bool answered = false;
+    bool read = false;
+  };
+
+  static constexpr Duration kFresh = std::chrono::milliseconds(1600);
+
+  [[nodiscard]] std::size_t Place(const Vm& vm) const {
+    ReadFacts facts;
+    facts.up = std::chrono::minutes(1);
+    facts.listed = true;
+    facts.answered = true;
+    std::size_t place = 0;
+    for (facts.age = std::chrono::milliseconds(1850);
+         !vm.choice.IsTurn(facts, kStart);
+         facts.age += std::chrono::milliseconds(700)) {
+      ++place;
+    }
+    return place;
+  }
+
+  bool Ask(Vm& vm) {
+    vm.answered = false;
+    const std::uint32_t depth = vm.choice.DepthOfQuestions(now_);
+    for (const std::string& name : vm.choice.Candidates(now_)) {
+      const auto other =
+          std::find_if(vms_.begin(), vms_.end(),
+                       [&](const Vm& one) { return one.name == name; });
+      other->choice.NoteAsked(depth, now_);
+      vm.answered = true;
+      vm.news = std::max(vm.news, other->news);
+      if (now_ - other->news <= kFresh) {
+        vm.choice.Trust(name);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::vector<Vm> vms_;
+  std::vector<std::string> refused_;
+  TimePoint now_ = kStart;
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(Readers)
@@ -81,7 +207,7 @@
     if (choice.IsReader(kStart)) {
       continue;
     }
-    choice.NoteAsked(kStart);
+    choice.NoteAsked(0, kStart);
     BOOST_TEST(choice.IsReader(kStart + seconds(2)));
     BOOST_TEST(!choice.IsReader(kStart + seconds(4)));
   }
@@ -102,6 +228,68 @@
   }
 }
 
+// When a store that was away came back, all 24 VMs of each zone read what they
+// had missed at once; their answers filled the link between the regions, and
+// some had the new routes 3.3 s later (lestage-passerelle-grown hunt-0d7f-7).
+BOOST_AUTO_TEST_CASE(FewVmsReadWhileTheStoreIsAway) {
+  Zone zone(24);
+  for (int round = 0; round < 10; ++round) {
+    zone.Round(true);
+  }
+  BOOST_TEST(zone.reading() <= 2);
+  for (int round = 0; round < 12; ++round) {
+    zone.Round(false);
+    BOOST_TEST(zone.reading() <= 8);
+  }
+  for (int round = 0; round < 3; ++round) {
+    zone.Round(true);
+    BOOST_TEST(zone.reading() <= 8);
+  }
+  BOOST_TEST((zone.OldestNews() <= std::chrono::milliseconds(1500)));
+}
+
+// The store may refuse the VMs that would read first: news must not grow older
+// than the time in which a leaving target must get no more work.
+BOOST_AUTO_TEST_CASE(NewsStayFreshWhenReadersAreRefused) {
+  for (const std::size_t refused : {1U, 2U, 3U}) {
+    for (const std::size_t size : {5U, 24U}) {
+      Zone zone(size);
+      for (int round = 0; round < 10; ++round) {
+        zone.Round(true);
+      }
+      zone.Refuse(refused);
+      for (int round = 0; round < 40; ++round) {
+        zone.Round(true);
+        BOOST_TEST_CONTEXT(refused << " of " << size << ", round " << round) {
+          BOOST_TEST((zone.OldestNews() <= std::chrono::milliseconds(2500)));
+        }
+      }
+    }
+  }
+}
+
+// A VM that starts again waits for its zone's reader, which may have started
+// with it, but not for long.
+BOOST_AUTO_TEST_CASE(AVmThatStartsAgainWaitsForTheReader) {
+  for (ReaderChoice& choice : MakeChoices()) {
+    if (choice.IsReader(kStart)) {
+      continue;
+    }
+    ReadFacts facts;
+    facts.up = std::chrono::milliseconds(300);
+    facts.age = facts.up;
+    BOOST_TEST(!choice.IsTurn(facts, kStart));
+    facts.listed = true;
+    facts.answered = true;
+    BOOST_TEST(!choice.IsTurn(facts, kStart));
+    facts.answered = false;
+    BOOST_TEST(choice.IsTurn(facts, kStart));
+    facts.answered = true;
+    facts.up = facts.age = seconds(6);
+    BOOST_TEST(choice.IsTurn(facts, kStart));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::catalog
--- a/test/kingcupshed/catalog/route_watch.cc
+++ b/test/kingcupshed/catalog/route_watch.cc
@@ -61,6 +61,19 @@
   BOOST_TEST(watch.IsStale(kStart + seconds(4)));
 }
 
+// A poll that waited while the store was slow is never woken, also long after.
+BOOST_AUTO_TEST_CASE(APollFromBeforeADisturbanceSaysNothing) {
+  RouteWatch watch;
+  watch.NoteRead(kStart);
+  watch.NotePollSent(kStart);
+  watch.NoteStoreTrouble();
+  watch.NoteStoreSound(kStart + seconds(8));
+  BOOST_TEST(watch.IsStale(kStart + seconds(8)));
+  watch.NotePollSent(kStart + seconds(9));
+  watch.NoteStoreSound(kStart + seconds(10));
+  BOOST_TEST(!watch.IsStale(kStart + seconds(11)));
+}
+
 BOOST_AUTO_TEST_CASE(TakeOverTheAgeThatAnotherVmTells) {
   RouteWatch watch;
   watch.NoteTold(kStart);
