--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -21,6 +21,9 @@
 /// expected.
 constexpr int kSilenceFactor = 3;
 constexpr std::uint32_t kDefaultAttempts = 2;
+/// Part of the retry budget that is kept for callers that can't come back once
+/// more.
+constexpr double kKeptForReturned = 0.5;
 /// Part of the probe bound that is used; the rest covers VMs that the others do
 /// not know of yet.
 constexpr double kProbePart = 0.75;
@@ -314,8 +317,14 @@
   if (sent >= most || LeftToDeadline(call) < WorkOf(call)) {
     return false;
   }
+  RetryBudget& budget = ServiceOf(call).budget;
+  // A caller whose work did not run can come back by itself, at no cost to the
+  // budget; one that has come back already has only this try.
+  const bool comes_back = result == AttemptResult::kRefused &&
+                          !call.request.returned && !call.maybe_ran;
+  const double kept = comes_back ? kKeptForReturned * budget.Whole(now_) : 0.0;
   // The budget is charged when the repeat is sent.
-  return ServiceOf(call).budget.Left(now_) >= 1.0;
+  return budget.Left(now_) >= 1.0 + kept;
 }
 
 void Engine::CancelOthers(Call& call, const Try* winner) {
--- a/src/kingcupshed/placement/retry_budget.cc
+++ b/src/kingcupshed/placement/retry_budget.cc
@@ -23,18 +23,25 @@
 }
 
 double RetryBudget::Left(TimePoint now) noexcept {
+  const double whole = Whole(now);
+  double repeats = 0.0;
+  for (const Slot& slot : slots_) {
+    repeats += slot.repeats;
+  }
+  return whole - repeats;
+}
+
+double RetryBudget::Whole(TimePoint now) noexcept {
   Advance(now);
   double calls = 0.0;
-  double repeats = 0.0;
   const std::size_t oldest = (newest_ + 1) % slots_.size();
   for (std::size_t at = 0; at < slots_.size(); ++at) {
     // Calls of the slot that leaves the window do not count any more.
     calls += at == oldest ? 0.0 : slots_[at].calls;
-    repeats += slots_[at].repeats;
   }
   const double allowed =
       rule_.ratio * calls + rule_.slack / static_cast<double>(vms_);
-  return kUsedPart * allowed - repeats;
+  return kUsedPart * allowed;
 }
 
 bool RetryBudget::TrySpend(TimePoint now, double reserve) noexcept {
--- a/src/kingcupshed/placement/retry_budget.h
+++ b/src/kingcupshed/placement/retry_budget.h
@@ -39,6 +39,9 @@
   /// Returns the repeats that are left now.
   [[nodiscard]] double Left(TimePoint now) noexcept;
 
+  /// Returns the repeats of a whole window, spent ones included.
+  [[nodiscard]] double Whole(TimePoint now) noexcept;
+
  private:
   static constexpr std::size_t kSlots = 20;
 
