--- a/src/kingcupshed/daemon/placement_metrics.cc
+++ b/src/kingcupshed/daemon/placement_metrics.cc
@@ -24,6 +24,15 @@
     Count{"kingcupshed_repeats_total", &ServiceCounters::repeats},
     Count{"kingcupshed_probes_total", &ServiceCounters::probes}};
 
+struct Times {
+  std::string_view name;
+  metrics::LatencyHistogram ServiceCounters::*member;
+};
+
+constexpr std::array kTimes{
+    Times{"kingcupshed_call_wait_seconds", &ServiceCounters::waits},
+    Times{"kingcupshed_call_answer_seconds", &ServiceCounters::answers}};
+
 struct Level {
   std::string_view name;
   double (*read)(const ServiceCounters&);
@@ -64,6 +73,13 @@
                     level.read(counted));
     }
   }
+  for (const Times& times : kTimes) {
+    for (const auto& [service, counted] : counters) {
+      page.AddHistogram(times.name,
+                        {{"service", runtime.services.NameOf(service)}},
+                        counted.*times.member);
+    }
+  }
   return page.text();
 }
 
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -94,6 +94,7 @@
                   MakeStoreHooks()),
         server_(runtime_.io, MakeServerContext()),
         pages_(runtime_.io, MakePagesContext()),
+        metrics_(runtime_.io, MakePagesContext()),
         stop_driver_(runtime_.io,
                      server_,
                      settings.stop_grace,
@@ -141,6 +142,7 @@
   std::size_t vms_ = 1;
   http::Server server_;
   http::Server pages_;
+  http::Server metrics_;
   StopDriver stop_driver_;
   SettingsWatch settings_watch_;
   Random random_;
@@ -251,7 +253,8 @@
 /// Takes over what can change while the VM runs.
 void RoutedVm::TakeSettings(const settings::Settings& changed) {
   const bool rebind = changed.listen != settings_.listen ||
-                      changed.pages_listen != settings_.pages_listen;
+                      changed.pages_listen != settings_.pages_listen ||
+                      changed.metrics_listen != settings_.metrics_listen;
   if (rebind) {
     log::Write(log::Severity::kWarning, kPart,
                "Changed addresses take effect with the next start.");
@@ -389,8 +392,9 @@
   const settings::Settings& settings = runtime_.settings;
   for (auto& [server, address] :
        {std::pair<http::Server*, std::string>{&server_, settings.listen},
-        std::pair<http::Server*, std::string>{&pages_,
-                                              settings.pages_listen}}) {
+        std::pair<http::Server*, std::string>{&pages_, settings.pages_listen},
+        std::pair<http::Server*, std::string>{&metrics_,
+                                              settings.metrics_listen}}) {
     if (!address.empty() && !server->Listen(address)) {
       log::Write(log::Severity::kError, kPart,
                  "The address " + address + " could not be bound.");
--- a/src/kingcupshed/metrics/text_page.cc
+++ b/src/kingcupshed/metrics/text_page.cc
@@ -35,16 +35,50 @@
   Add("gauge", name, labels, value);
 }
 
+void TextPage::AddHistogram(std::string_view name,
+                            const std::vector<Label>& labels,
+                            const LatencyHistogram& times) {
+  AddType("histogram", name);
+  const std::string base(name);
+  const auto buckets = times.Cumulated();
+  for (const LatencyHistogram::Bucket& bucket : buckets) {
+    std::ostringstream end;
+    if (bucket.up_to == Duration::max()) {
+      end << "+Inf";
+    } else {
+      end << ToSeconds(bucket.up_to);
+    }
+    const std::string up_to = end.str();
+    std::vector<Label> with_end = labels;
+    with_end.push_back({"le", up_to});
+    AddSample(base + "_bucket", with_end, static_cast<double>(bucket.count));
+  }
+  AddSample(base + "_sum", labels, ToSeconds(times.sum()));
+  AddSample(base + "_count", labels, static_cast<double>(buckets.back().count));
+}
+
 void TextPage::Add(std::string_view type,
                    std::string_view name,
                    const std::vector<Label>& labels,
                    double value) {
+  AddType(type, name);
+  AddSample(name, labels, value);
+}
+
+/// Adds the line that tells the type, once for samples that follow each other.
+void TextPage::AddType(std::string_view type, std::string_view name) {
+  if (name == last_name_) {
+    return;
+  }
+  last_name_ = name;
+  text_ += "# TYPE " + last_name_ + " " + std::string(type) + "\n";
+}
+
+void TextPage::AddSample(std::string_view name,
+                         const std::vector<Label>& labels,
+                         double value) {
   std::ostringstream line;
   line.precision(15);
-  if (name != last_name_) {
-    line << "# TYPE " << name << " " << type << "\n";
-    last_name_ = name;
-  }
   line << name;
   char separator = '{';
   for (const Label& label : labels) {
--- a/src/kingcupshed/metrics/text_page.h
+++ b/src/kingcupshed/metrics/text_page.h
@@ -4,6 +4,8 @@
 #include <string_view>
 #include <vector>
 
+#include "kingcupshed/metrics/latency_histogram.h"
+
 namespace kingcupshed::metrics {
 
 /// One label of a sample.
@@ -25,6 +27,11 @@
                 const std::vector<Label>& labels,
                 double value);
 
+  /// Adds a histogram of times in seconds.
+  void AddHistogram(std::string_view name,
+                    const std::vector<Label>& labels,
+                    const LatencyHistogram& times);
+
   /// Returns the page.
   [[nodiscard]] const std::string& text() const noexcept { return text_; }
 
@@ -33,6 +40,10 @@
            std::string_view name,
            const std::vector<Label>& labels,
            double value);
+  void AddType(std::string_view type, std::string_view name);
+  void AddSample(std::string_view name,
+                 const std::vector<Label>& labels,
+                 double value);
 
   std::string text_;
   std::string last_name_;
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -129,6 +129,7 @@
   Try& attempt = call.tries[ToIndex(answered.attempt)];
   attempt.answered = true;
   call.answered = true;
+  ServiceOf(call).counters.answers.Add(now_ - call.arrived);
   Learn(call, attempt, AttemptResult::kAnswered);
   if (answered.load) {
     On(dispatch::LoadReported{attempt.target, *answered.load,
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -408,6 +408,9 @@
   service.waiting.erase(call.request.call);
   service.counters.repeats += repeat ? 1 : 0;
   ++service.counters.started;
+  if (call.tries.empty()) {
+    service.counters.waits.Add(now_ - call.arrived);
+  }
   Try attempt;
   attempt.target = target.facts().id;
   attempt.started = now_;
--- a/src/kingcupshed/placement/placer.h
+++ b/src/kingcupshed/placement/placer.h
@@ -11,6 +11,7 @@
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/core/rank.h"
 #include "kingcupshed/dispatch/core.h"
+#include "kingcupshed/metrics/latency_histogram.h"
 #include "kingcupshed/placement/retry_budget.h"
 #include "kingcupshed/placement/target_model.h"
 
@@ -38,6 +39,9 @@
   std::uint64_t refused = 0;
   std::uint64_t repeats = 0;
   std::uint64_t probes = 0;
+  /// Time from a call's arrival to its first try, and to its answer's head.
+  metrics::LatencyHistogram waits;
+  metrics::LatencyHistogram answers;
   /// Calls that wait now for a target.
   std::size_t waiting = 0;
   /// Time that the service's longest kind of work usually takes.
--- a/src/kingcupshed/settings/settings.cc
+++ b/src/kingcupshed/settings/settings.cc
@@ -203,7 +203,7 @@
 constexpr int kMaxStoreCalls = 1'000'000;
 constexpr int kMaxRetrySlack = 1'000'000;
 
-constexpr std::array<Key, 25> kKeys{{
+constexpr std::array<Key, 26> kKeys{{
     {"first_start", &ReadFlag<&Settings::first_start>, false},
     {"vm", &ReadText<&Settings::vm>, true},
     {"zone", &ReadText<&Settings::zone>, true},
@@ -217,6 +217,7 @@
     {"store_writes_per_s",
      &ReadNumber<&Settings::store_writes_per_s, kMaxStoreCalls>, false},
     {"pages_listen", &ReadAddress<&Settings::pages_listen>, false},
+    {"metrics_listen", &ReadAddress<&Settings::metrics_listen>, false},
     {"retry_ratio", &ReadNumber<&Settings::retry_ratio, kMaxRetryRatio>, false},
     {"retry_window_s", &ReadSeconds<&Settings::retry_window, kMaxWindowSeconds>,
      false},
--- a/src/kingcupshed/settings/settings.h
+++ b/src/kingcupshed/settings/settings.h
@@ -34,6 +34,8 @@
   double store_writes_per_s = 0.0;
   /// Address of the VM's own pages when they are not served to callers.
   std::string pages_listen;
+  /// Address of the same pages besides, for those who collect metrics.
+  std::string metrics_listen;
   /// Repeated arrivals at a service that are allowed for each call.
   double retry_ratio = 0.2;
   /// Span over which repeated arrivals are counted.
--- a/test/kingcupshed/placement/placer.cc
+++ b/test/kingcupshed/placement/placer.cc
@@ -287,6 +287,32 @@
   BOOST_TEST(FindRefusal(actions) != nullptr);
 }
 
+// Targets that shed half of their work used up the budget for callers that
+// would have come back by themselves, and those that had come back got nothing.
+BOOST_AUTO_TEST_CASE(KeepsHalfOfTheRetryBudgetForCallersThatCameBack) {
+  AddTargets(3);
+  // Ten repeats in a window; nine are used.
+  placer.SetRules({0.0, seconds(10), 10.0}, 0.0);
+  const auto shed = [&](std::uint64_t id, bool returned) {
+    dispatch::CallArrived call = MakeCall(id);
+    call.returned = returned;
+    BOOST_REQUIRE(FindStart(Arrive(call)) != nullptr);
+    return AnswerProbes(Handle(dispatch::AttemptEnded{
+        CallId{id}, AttemptId{0}, AttemptResult::kRefused, std::nullopt, 0}));
+  };
+  std::uint64_t id = 1;
+  while (FindStart(shed(id, false)) != nullptr) {
+    ++id;
+  }
+  BOOST_TEST(id == 5U);
+  const auto refused = shed(++id, false);
+  const RefuseCall* refusal = FindRefusal(refused);
+  BOOST_REQUIRE(refusal != nullptr);
+  BOOST_TEST((refusal->reason == RefuseReason::kRefusedByTargets));
+  BOOST_TEST(ToMilliseconds(refusal->retry_after) <= 80.0);
+  BOOST_TEST(FindStart(shed(++id, true)) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(KeepsLargeAnswersNear) {
   AddTargets(1, Distance::kRemote);
   AddTargets(1, Distance::kRegion);
