--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -69,6 +69,10 @@
   config.retries = {settings.retry_ratio, settings.retry_window,
                     settings.retry_slack};
   config.probes_per_target_s = settings.probes_per_target_s;
+  if (!settings.first_start) {
+    config.slack_from =
+        std::chrono::steady_clock::now() + settings.retry_window;
+  }
   return config;
 }
 
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -65,7 +65,7 @@
 void Engine::SetFleetSize(std::size_t vms) {
   vms_ = std::max<std::size_t>(1, vms);
   for (auto& [id, service] : services_) {
-    service.budget.Configure(config_.retries, vms_);
+    service.budget.Configure(config_.retries, vms_, config_.slack_from);
   }
   if (config_.probes_per_target_s <= 0.0) {
     return;
@@ -107,7 +107,7 @@
 void Engine::On(const dispatch::CallArrived& arrived) {
   Service& service = services_[arrived.service];
   ++service.counters.arrived;
-  service.budget.Configure(config_.retries, vms_);
+  service.budget.Configure(config_.retries, vms_, config_.slack_from);
   service.budget.NoteCall(now_);
   const auto [entry, added] = calls_.try_emplace(arrived.call);
   if (!added) {
--- a/src/kingcupshed/placement/placer.h
+++ b/src/kingcupshed/placement/placer.h
@@ -22,6 +22,8 @@
   /// Seed of every random choice.
   std::uint64_t seed = 1;
   BudgetRule retries;
+  /// Instant from which the VM has its part of the retry budget's slack.
+  TimePoint slack_from{};
   /// Probes that all VMs together may send to a target on average; zero for no
   /// bound.
   double probes_per_target_s = 0.0;
--- a/src/kingcupshed/placement/retry_budget.cc
+++ b/src/kingcupshed/placement/retry_budget.cc
@@ -12,8 +12,11 @@
 
 }  // namespace
 
-void RetryBudget::Configure(const BudgetRule& rule, std::size_t vms) noexcept {
+void RetryBudget::Configure(const BudgetRule& rule,
+                            std::size_t vms,
+                            TimePoint slack_from) noexcept {
   rule_ = rule;
+  slack_from_ = slack_from;
   vms_ = std::max<std::size_t>(1, vms);
 }
 
@@ -39,8 +42,9 @@
     // Calls of the slot that leaves the window do not count any more.
     calls += at == oldest ? 0.0 : slots_[at].calls;
   }
-  const double allowed =
-      rule_.ratio * calls + rule_.slack / static_cast<double>(vms_);
+  const double slack =
+      now < slack_from_ ? 0.0 : rule_.slack / static_cast<double>(vms_);
+  const double allowed = rule_.ratio * calls + slack;
   return kUsedPart * allowed;
 }
 
--- a/src/kingcupshed/placement/retry_budget.h
+++ b/src/kingcupshed/placement/retry_budget.h
@@ -26,7 +26,11 @@
 class RetryBudget {
  public:
   /// @param vms VMs that share the slack, at least one.
-  void Configure(const BudgetRule& rule, std::size_t vms) noexcept;
+  /// @param slack_from Instant from which this VM has its part of the slack; a
+  ///   VM that started again may have spent it in the life before.
+  void Configure(const BudgetRule& rule,
+                 std::size_t vms,
+                 TimePoint slack_from = {}) noexcept;
 
   /// Accounts for a call of a caller.
   void NoteCall(TimePoint now) noexcept;
@@ -54,6 +58,7 @@
 
   BudgetRule rule_;
   std::size_t vms_ = 1;
+  TimePoint slack_from_{};
   /// One slot more than the window holds, as the oldest is passed in part.
   std::array<Slot, kSlots + 1> slots_{};
   std::size_t newest_ = 0;
--- a/test/kingcupshed/placement/retry_budget.cc
+++ b/test/kingcupshed/placement/retry_budget.cc
@@ -1,6 +1,7 @@
 #include "kingcupshed/placement/retry_budget.h"
 
 #include <algorithm>
+#include <random>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -90,6 +91,57 @@
   BOOST_TEST(SpendAll(budget, kStart + seconds(60)) == 13);
 }
 
+// VMs die with their part of the budget spent, come back, and others join: the
+// fleet keeps to the rule in every window. A VM that came back used to spend
+// its part of the slack once more.
+BOOST_AUTO_TEST_CASE(HoldsOverAFleetWhoseVmsDieAndJoin) {
+  constexpr std::size_t kVms = 8;
+  constexpr int kSteps = 900;
+  constexpr milliseconds kStep{100};
+  std::mt19937_64 random(7);
+  std::vector<RetryBudget> fleet(kVms, MakeBudget(kVms));
+  std::vector<int> calls(kSteps, 0);
+  std::vector<int> repeats(kSteps, 0);
+  for (int step = 0; step < kSteps; ++step) {
+    const TimePoint now = kStart + step * kStep;
+    for (RetryBudget& budget : fleet) {
+      if (random() % 60 == 0) {
+        budget = RetryBudget();
+        budget.Configure(kRule, fleet.size(), now + kRule.window);
+      }
+      const int load = step % 200 < 30 ? 12 : 1;
+      for (int call = 0; call < load; ++call) {
+        budget.NoteCall(now);
+      }
+      calls[static_cast<std::size_t>(step)] += load;
+      repeats[static_cast<std::size_t>(step)] += SpendAll(budget, now);
+    }
+    if (step == kSteps / 2) {
+      RetryBudget joined;
+      joined.Configure(kRule, fleet.size() + 1, now + kRule.window);
+      fleet.push_back(joined);
+      for (RetryBudget& budget : fleet) {
+        budget.Configure(kRule, fleet.size(), now + kRule.window);
+      }
+    }
+  }
+  const auto sum = [](const std::vector<int>& counts, int from, int to) {
+    double total = 0.0;
+    for (int at = std::max(0, from); at < std::min(static_cast<int>(counts.size()), to); ++at) {
+      total += counts[static_cast<std::size_t>(at)];
+    }
+    return total;
+  };
+  constexpr int kWindow = static_cast<int>(kRule.window / kStep);
+  for (int from = 0; from + kWindow <= kSteps; ++from) {
+    const double requests = std::max(
+        {sum(calls, from, from + kWindow), sum(calls, from - kWindow, from),
+         sum(calls, from - kWindow / 2, from + kWindow / 2)});
+    BOOST_TEST(sum(repeats, from, from + kWindow) <=
+               kRule.ratio * requests + kRule.slack);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::placement
