--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -222,6 +222,49 @@
   BOOST_TEST(StatusOf(rig.Exchange(Get())) == "200");
 }
 
+// Work that may be repeated is given up at once when its caller leaves, so that
+// the target has the slot for others.
+BOOST_AUTO_TEST_CASE(EndsWorkWhoseCallerHasLeft) {
+  RoutedRig rig(1);
+  rig.Script({.bytes = RoutedRig::MakeAnswer("late"), .silent = true});
+  rig.SendAndLeave(Get());
+  rig.RunUntil([&] { return rig.dropped() == 1U; });
+  BOOST_TEST(StatusOf(rig.Exchange(Get("r2"))) == "200");
+}
+
+// A stop under load: what was read is answered, also when the target takes
+// until after the VM accepts no more; the connection says that it ends.
+BOOST_AUTO_TEST_CASE(AnswersWhatItHasReadDuringAStop) {
+  RoutedRig rig(2);
+  rig.Script({.bytes = RoutedRig::MakeAnswer("slow"), .silent = true});
+  rig.Script({.bytes = RoutedRig::MakeAnswer("slow"), .silent = true});
+  const auto read = rig.StartExchange(
+      "GET /read/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+      "Deadline-Ms: 5000\r\n\r\n");
+  const auto write = rig.StartExchange(
+      "POST /write/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r2\r\n"
+      "Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nab");
+  rig.RunUntil([&] { return rig.requests().size() == 2U; });
+  rig.server().BeginStop();
+  // The balancer has not noticed yet: a new connection is served.
+  const auto late = rig.StartExchange(
+      "GET /read/y HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r3\r\n\r\n");
+  rig.RunUntil([&] { return late->second; });
+  BOOST_TEST(StatusOf(late->first) == "200");
+  BOOST_TEST(Contains(late->first, "Connection: close"));
+  rig.server().StopAccepting();
+  BOOST_TEST(rig.server().connections() >= 2U);
+  rig.EndSilence();
+  rig.RunUntil([&] {
+    return read->second && write->second && rig.server().connections() == 0;
+  });
+  for (const auto& answer : {read, write}) {
+    BOOST_TEST(StatusOf(answer->first) == "200");
+    BOOST_TEST(Contains(answer->first, "Connection: close"));
+    BOOST_TEST(answer->first.ends_with("slow"));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::http
--- a/test/kingcupshed/placement/retry_budget.cc
+++ b/test/kingcupshed/placement/retry_budget.cc
@@ -127,7 +127,8 @@
   }
   const auto sum = [](const std::vector<int>& counts, int from, int to) {
     double total = 0.0;
-    for (int at = std::max(0, from); at < std::min(static_cast<int>(counts.size()), to); ++at) {
+    for (int at = std::max(0, from);
+         at < std::min(static_cast<int>(counts.size()), to); ++at) {
       total += counts[static_cast<std::size_t>(at)];
     }
     return total;
--- a/test/support/routed_rig.h
+++ b/test/support/routed_rig.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -18,8 +19,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -41,6 +44,8 @@
   bool close = false;
   /// True to reset it.
   bool reset = false;
+  /// True to work on and say nothing until the connection ends.
+  bool silent = false;
 };
 
 /// A server that routes by path, with targets that answer by script.
@@ -93,6 +98,47 @@
     return answer;
   }
 
+  /// Sends bytes on a new connection and closes it once the request has reached
+  /// a target.
+  void SendAndLeave(std::string bytes) {
+    const std::size_t reached = requests_.size() + 1;
+    asio::ip::tcp::socket socket(io_);
+    socket.connect({asio::ip::make_address(prefix_ + ".1"), 8080});
+    asio::write(socket, asio::buffer(bytes));
+    RunUntil([&] { return requests_.size() >= reached; });
+    socket.close();
+  }
+
+  /// Starts an exchange that goes on while the test does other things.
+  /// @return What has come back, and whether the connection has ended.
+  std::shared_ptr<std::pair<std::string, bool>> StartExchange(
+      std::string bytes) {
+    auto answer = std::make_shared<std::pair<std::string, bool>>();
+    asio::co_spawn(
+        io_, Talk(std::move(bytes), answer->first),
+        [answer](const std::exception_ptr&) { answer->second = true; });
+    return answer;
+  }
+
+  /// Runs the event loop until a condition holds.
+  void RunUntil(const std::function<bool()>& condition) {
+    while (!condition()) {
+      io_.run_one();
+    }
+  }
+
+  /// Requests whose connection ended while a target was at work on them.
+  [[nodiscard]] std::size_t dropped() const { return dropped_; }
+  [[nodiscard]] http::Server& server() { return *server_; }
+
+  /// Lets targets that are silent answer after all.
+  void EndSilence() {
+    silence_over_ = true;
+    for (asio::steady_timer* timer : silent_) {
+      timer->cancel();
+    }
+  }
+
   /// Returns a request of which the connection is closed after the answer.
   static std::string MakeRequest(std::string_view method,
                                  std::string_view path,
@@ -220,6 +266,9 @@
       const std::string body = buffer.substr(0, length);
       buffer.erase(0, length);
       const ScriptedAnswer answer = AnswerTo(head, body, name);
+      if (answer.silent) {
+        co_await StaySilent(socket);
+      }
       co_await asio::async_write(socket, asio::buffer(answer.bytes), token);
       if (answer.reset) {
         // The destructor would end the connection in order all the same.
@@ -232,6 +281,29 @@
     }
   }
 
+  /// Waits until the silence is over or the connection has ended.
+  asio::awaitable<void> StaySilent(asio::ip::tcp::socket& socket) {
+    if (silence_over_) {
+      co_return;
+    }
+    asio::steady_timer timer(io_, asio::steady_timer::time_point::max());
+    silent_.insert(&timer);
+    char byte = 0;
+    socket.async_read_some(
+        asio::buffer(&byte, 1),
+        [&](const boost::system::error_code& error, std::size_t) {
+          if (error && error != asio::error::operation_aborted) {
+            ++dropped_;
+            timer.cancel();
+          }
+        });
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    silent_.erase(&timer);
+    socket.cancel(error);
+    co_await asio::post(io_, asio::use_awaitable);
+  }
+
   ScriptedAnswer AnswerTo(const std::string& head,
                           const std::string& body,
                           const std::string& name) {
@@ -292,6 +364,9 @@
   std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors_;
   std::deque<ScriptedAnswer> script_;
   std::vector<std::string> requests_;
+  std::set<asio::steady_timer*> silent_;
+  bool silence_over_ = false;
+  std::size_t dropped_ = 0;
   http::SessionLimits limits_;
   placement::Placer placer_;
   http::DispatchDriver driver_;
