Ask every 20 ms at a restart; fewer store calls in an outage and after it

A VM whose entry is in the store does not write it again, and while the store is away only the reads of targets look for its return.

--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -38,8 +38,11 @@
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
 constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
+/// Time between reads of the routes while those of the targets fail: one of
+/// the two is enough to notice that the store is back.
+constexpr Duration kOutagePause = std::chrono::milliseconds(900);
 /// Time between the questions of a VM that knows nothing yet.
-constexpr Duration kStartBackoff = std::chrono::milliseconds(80);
+constexpr Duration kStartBackoff = std::chrono::milliseconds(20);
 /// Age of the news after which a failed question counts as an outage.
 constexpr Duration kOutageAge = std::chrono::milliseconds(2000);
 /// The VMs of a fleet that starts for the first time have registered by then.
@@ -139,7 +142,7 @@
     const bool reader = readers_.IsReader(Now());
     const bool stale = routes_.watch().IsStale(Now());
     if (!IsTurn(Now(), routes_.watch().current()) || (!reader && !stale)) {
-      co_await Pause(kAdvanceInterval);
+      co_await Pause(routes_.version() == 0 ? kStartBackoff : kAdvanceInterval);
       continue;
     }
     const StoreStatus status =
@@ -147,9 +150,11 @@
     if (status == StoreStatus::kDone || status == StoreStatus::kExpired) {
       continue;
     }
-    // A slow store answers a read that does not wait, given more time.
-    co_await routes_.Check();
-    co_await Pause(Backoff());
+    if (store_reached_) {
+      // A slow store answers a read that does not wait, given more time.
+      co_await routes_.Check();
+    }
+    co_await Pause(store_reached_ ? Backoff() : kOutagePause);
   }
 }
 
@@ -399,10 +404,17 @@
   }
 }
 
-/// Tells the others where this VM is.
+/// Tells the others where this VM is, unless the store has it from a life
+/// before.
 asio::awaitable<void> StoreFollower::Register() {
   const std::string place =
       platform::EncodeVm(place_.zone, place_.peer_address);
+  while (!first_start_ && !listed_) {
+    co_await Pause(kAdvanceInterval);
+  }
+  if (registered_) {
+    co_return;
+  }
   for (;;) {
     const StoreStatus put =
         co_await store_.Put(std::string(platform::kVmTopic), place_.vm, place);
@@ -439,6 +451,9 @@
   for (const platform::KeyedRecord& record : page.records) {
     const auto place =
         record.value ? platform::DecodeVm(*record.value) : std::nullopt;
+    registered_ = registered_ || (place && record.key == place_.vm &&
+                                  place->zone == place_.zone &&
+                                  place->peer_address == place_.peer_address);
     if (place) {
       TakeVm(record.key, place->zone, place->peer_address);
     }
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -134,6 +134,8 @@
   bool store_reached_ = true;
   /// True once the other VMs were listed.
   bool listed_ = false;
+  /// True when the store has this VM's entry from a life before.
+  bool registered_ = false;
   /// True when one of the VMs that were asked last did answer.
   bool answered_ = false;
   /// Those of them that had no fresh news.
