--- a/src/kingcupshed/daemon/event_log.cc
+++ b/src/kingcupshed/daemon/event_log.cc
@@ -47,6 +47,10 @@
 
 EventLog::EventLog(Runtime& runtime)
     : runtime_(runtime), writer_(STDOUT_FILENO, kLinesPerSecond) {
+  const std::string& level = runtime_.settings.log_level;
+  if (level == "warning" || level == "error") {
+    return;
+  }
   runtime_.recorder.SetSink([this](const timeline::Event& event) {
     writer_.Write(timeline::ToJsonLine(event),
                   std::chrono::steady_clock::now());
--- a/src/kingcupshed/daemon/event_log.h
+++ b/src/kingcupshed/daemon/event_log.h
@@ -10,7 +10,7 @@
 namespace kingcupshed::daemon {
 
 /// Writes the events of a VM as JSON lines to standard output; `kingcupshed
-/// timeline` reads them.
+/// timeline` reads them. They are of level `info`.
 class EventLog {
  public:
   explicit EventLog(Runtime& runtime);
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -189,9 +189,7 @@
           FromSeconds(kRoundTripGain * ToSeconds(reported.round_trip - usual));
     }
   }
-  if (probes_.erase(reported.target) > 0) {
-    SettleProbe(reported.target);
-  }
+  SettleProbe(reported.target);
 }
 
 void Engine::On(const dispatch::ProbeFailed& failed) {
@@ -199,9 +197,7 @@
   if (found != targets_.end()) {
     found->second.Unreachable(now_);
   }
-  if (probes_.erase(failed.target) > 0) {
-    SettleProbe(failed.target);
-  }
+  SettleProbe(failed.target);
 }
 
 void Engine::On(const dispatch::Tick& /*tick*/) {
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -219,7 +219,9 @@
       continue;
     }
     call.probed.insert(id);
-    if (probes_.try_emplace(id, now_).second) {
+    const auto [probe, added] = probes_.try_emplace(id);
+    probe->second.push_back(call.request.call);
+    if (added) {
       ++ServiceOf(call).counters.probes;
       probe_tokens_.Spend(1.0);
       actions_.emplace_back(dispatch::ProbeTarget{id});
@@ -227,18 +229,21 @@
   }
 }
 
+/// Lets the calls go on that awaited a probe which is over.
 void Engine::SettleProbe(TargetId target) {
-  std::vector<CallId> settled;
-  for (auto& [id, call] : calls_) {
-    if (call.wait == Wait::kProbes && call.probed.erase(target) > 0 &&
-        call.probed.empty()) {
-      settled.push_back(id);
-    }
+  const auto probe = probes_.extract(target);
+  if (probe.empty()) {
+    return;
   }
-  for (const CallId id : settled) {
+  for (const CallId id : probe.mapped()) {
     const auto found = calls_.find(id);
-    if (found != calls_.end()) {
-      Decide(found->second);
+    if (found == calls_.end()) {
+      continue;
+    }
+    Call& call = found->second;
+    if (call.wait == Wait::kProbes && call.probed.erase(target) > 0 &&
+        call.probed.empty()) {
+      Decide(call);
     }
   }
 }
--- a/src/kingcupshed/placement/internal/state.h
+++ b/src/kingcupshed/placement/internal/state.h
@@ -170,8 +170,9 @@
   std::map<ServiceId, Service> services_;
   std::map<CallId, Call> calls_;
   std::set<std::pair<TimePoint, CallId>> wakes_;
-  /// Probes under way, with the time at which they were sent.
-  std::map<TargetId, TimePoint> probes_;
+  /// Probes under way, with the calls that await them; some of these may have
+  /// gone on or ended meanwhile.
+  std::map<TargetId, std::vector<CallId>> probes_;
   std::function<void(const Decision&)> observer_;
   std::vector<dispatch::Action> actions_;
   TimePoint now_{};
