--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -36,11 +36,12 @@
 constexpr Duration kFreshAge = std::chrono::milliseconds(1600);
 constexpr Duration kAskTimeout = std::chrono::milliseconds(300);
 constexpr Duration kAdvanceInterval = std::chrono::milliseconds(100);
-constexpr Duration kShortestBackoff = std::chrono::milliseconds(150);
-constexpr Duration kBackoffSpread = std::chrono::milliseconds(300);
-/// Time between reads of the routes while those of the targets fail: one of
-/// the two is enough to notice that the store is back.
-constexpr Duration kOutagePause = std::chrono::milliseconds(900);
+/// Usual time between the questions of a VM whose news are old.
+constexpr Duration kAskPause = std::chrono::milliseconds(300);
+/// Usual time until a call to the store that failed is tried again; it doubles
+/// to 1.2 s, which leaves enough of the four seconds after the store's return.
+constexpr Duration kShortestBackoff = std::chrono::milliseconds(300);
+constexpr std::uint32_t kMostDoublings = 2;
 /// Time between the questions of a VM that knows nothing yet.
 constexpr Duration kStartBackoff = std::chrono::milliseconds(20);
 /// Age of the news after which a failed question counts as an outage.
@@ -112,9 +113,14 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+Duration StoreFollower::Jittered(Duration usual) {
+  return FromSeconds((0.5 + random_.Unit()) * ToSeconds(usual));
+}
+
+/// Returns the time until the next call to the store after one that failed.
 Duration StoreFollower::Backoff() {
-  return kShortestBackoff +
-         FromSeconds(random_.Unit() * ToSeconds(kBackoffSpread));
+  return Jittered(kShortestBackoff *
+                  (1U << std::min(store_failures_, kMostDoublings)));
 }
 
 void StoreFollower::NoteStore(bool reached) {
@@ -122,6 +128,7 @@
     hooks_.on_event(reached ? "store_regained" : "store_lost", "");
   }
   store_reached_ = reached;
+  store_failures_ = reached ? 0 : store_failures_ + 1;
 }
 
 /// Returns whether this VM is to read the store now.
@@ -154,7 +161,7 @@
       // A slow store answers a read that does not wait, given more time.
       co_await routes_.Check();
     }
-    co_await Pause(store_reached_ ? Backoff() : kOutagePause);
+    co_await Pause(Backoff());
   }
 }
 
@@ -164,8 +171,9 @@
     if (!readers_.IsReader(Now()) || readers_.DoubtsSelf(Now())) {
       fresh = co_await AskOthers();
     }
-    if (!fresh && IsTurn(Now(), newest_read_)) {
+    if (!fresh && Now() >= next_read_ && IsTurn(Now(), newest_read_)) {
       fresh = co_await ReadTargets();
+      next_read_ = store_failures_ == 0 ? TimePoint{} : Now() + Backoff();
     }
     co_await CheckRoutes();
     if (fresh) {
@@ -173,7 +181,7 @@
           FromSeconds((1.0 - kPaceSpread / 2 + kPaceSpread * random_.Unit()) *
                       ToSeconds(kTargetPace)));
     } else {
-      co_await Pause(newest_read_ ? Backoff() : kStartBackoff);
+      co_await Pause(newest_read_ ? Jittered(kAskPause) : kStartBackoff);
     }
   }
 }
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -96,6 +96,7 @@
   boost::asio::awaitable<void> FollowVms();
   boost::asio::awaitable<void> AdvanceTargets();
   boost::asio::awaitable<void> Pause(Duration duration);
+  [[nodiscard]] Duration Jittered(Duration usual);
   [[nodiscard]] Duration Backoff();
   void Answer(const peer::wire::PublishedRequest& request,
               peer::wire::Published& answer);
@@ -132,6 +133,10 @@
   std::optional<TimePoint> newest_read_;
   std::optional<LogOffset> targets_next_;
   bool store_reached_ = true;
+  /// Reads of targets that failed in a row.
+  std::uint32_t store_failures_ = 0;
+  /// When the store may be read again after a failure.
+  TimePoint next_read_{};
   /// True once the other VMs were listed.
   bool listed_ = false;
   /// True when the store has this VM's entry from a life before.
