--- a/src/kingcupshed/metrics/latency_histogram.cc
+++ b/src/kingcupshed/metrics/latency_histogram.cc
@@ -51,15 +51,13 @@
   std::vector<Bucket> buckets;
   // Times below the first range stand at -1, those beyond the last at its end.
   std::uint64_t count = 0;
-  const auto size = static_cast<int>(kEnds.size());
-  for (int at = -1; at < size; ++at) {
-    count += static_cast<std::uint64_t>(counts_->values.at(at));
-    const bool last = at + 1 == size;
-    buckets.push_back(
-        {last ? Duration::max()
-              : FromSeconds(kEnds[static_cast<std::size_t>(at + 1)]),
-         count});
+  int at = -1;
+  for (const double end : kEnds) {
+    count += static_cast<std::uint64_t>(counts_->values.at(at++));
+    buckets.push_back({FromSeconds(end), count});
   }
+  count += static_cast<std::uint64_t>(counts_->values.at(at));
+  buckets.push_back({Duration::max(), count});
   return buckets;
 }
 
--- a/src/kingcupshed/model/policy.cc
+++ b/src/kingcupshed/model/policy.cc
@@ -68,9 +68,7 @@
              std::size_t vm,
              std::uint64_t seed,
              std::string_view policy)
-      : simulation_(simulation),
-        vm_(vm),
-        random_(seed),
+      : random_(seed),
         policy_(routing::MakePolicy(policy)) {
     for (const PlacedTarget& target : simulation.targets()) {
       routing::TargetView view;
@@ -173,8 +171,6 @@
     calls_.erase(found);
   }
 
-  Simulation& simulation_;
-  std::size_t vm_;
   Random random_;
   std::unique_ptr<routing::Policy> policy_;
   std::map<ServiceId, std::vector<routing::TargetView>> views_;
