--- a/src/kingcupshed/model/outcome.cc
+++ b/src/kingcupshed/model/outcome.cc
@@ -142,6 +142,20 @@
   return text.data() + CausesOf(counts) + "\n";
 }
 
+/// Returns what took most of a late answer's time beyond the work itself.
+LossCause CauseOfDelay(const Ending& ending) noexcept {
+  if (ending.tries > 1) {
+    return LossCause::kCameBackLate;
+  }
+  const Duration slowed =
+      FromSeconds(ToSeconds(ending.worked) * (1.0 - 1.0 / ending.slowdown));
+  const Duration here = ending.took - ending.queued - ending.worked;
+  if (ending.queued >= slowed && ending.queued >= here) {
+    return LossCause::kWaitedAtTarget;
+  }
+  return slowed >= here ? LossCause::kSlowTarget : LossCause::kWaitedHere;
+}
+
 }  // namespace
 
 void LoadCounts::Add(const LoadCounts& other) noexcept {
@@ -158,6 +172,27 @@
   }
 }
 
+void LoadCounts::Count(const Ending& ending,
+                       Duration objective,
+                       double worth,
+                       double late_worth) noexcept {
+  if (ending.answered && ending.took <= objective) {
+    ++in_time;
+    earned += worth;
+    return;
+  }
+  if (!ending.answered) {
+    ++(ending.refused ? refused : failed);
+    const LossCause cause =
+        ending.refused ? LossCause::kRefused : LossCause::kFailed;
+    lost[static_cast<std::size_t>(cause)] += worth;
+    return;
+  }
+  ++late;
+  earned += late_worth;
+  lost[static_cast<std::size_t>(CauseOfDelay(ending))] += worth - late_worth;
+}
+
 LoadCounts Outcome::Total() const {
   LoadCounts total;
   for (const LoadOutcome& load : loads) {
--- a/src/kingcupshed/model/outcome.h
+++ b/src/kingcupshed/model/outcome.h
@@ -33,6 +33,21 @@
     "refused",     "waited_here",    "waited_at_target",
     "slow_target", "came_back_late", "failed"};
 
+/// How a caller's work ended, over all its tries.
+struct Ending {
+  bool answered = false;
+  /// True when it was refused without having run.
+  bool refused = false;
+  std::uint32_t tries = 0;
+  /// Time from the first try to the end.
+  Duration took{};
+  /// Of it, time in the target's queue and at work.
+  Duration queued{};
+  Duration worked{};
+  /// How much longer the work took than its size says.
+  double slowdown = 1.0;
+};
+
 /// What became of the calls of one load in a span of time.
 struct LoadCounts {
   std::uint64_t offered = 0;
@@ -47,6 +62,14 @@
   std::array<double, kLossNames.size()> lost{};
 
   void Add(const LoadCounts& other) noexcept;
+
+  /// Counts the end of a caller's work and why worth was lost.
+  /// @param worth Worth of an answer within the objective.
+  /// @param late_worth Worth of a later one.
+  void Count(const Ending& ending,
+             Duration objective,
+             double worth,
+             double late_worth) noexcept;
 };
 
 /// What became of one load.
--- a/src/kingcupshed/model/policy.cc
+++ b/src/kingcupshed/model/policy.cc
@@ -68,8 +68,7 @@
              std::size_t vm,
              std::uint64_t seed,
              std::string_view policy)
-      : random_(seed),
-        policy_(routing::MakePolicy(policy)) {
+      : random_(seed), policy_(routing::MakePolicy(policy)) {
     for (const PlacedTarget& target : simulation.targets()) {
       routing::TargetView view;
       view.id = target.id;
--- a/src/kingcupshed/model/simulation.cc
+++ b/src/kingcupshed/model/simulation.cc
@@ -462,38 +462,16 @@
   }
   const Caller& caller = node.mapped();
   const LoadScenario& load = scenario_.loads[caller.load];
-  LoadCounts& counts =
-      outcome_.loads[caller.load].seconds[SecondOf(caller.first)];
-  const TimePoint end = clock_.now() + scenario_.delays.caller;
-  if (answered && end <= caller.first + load.objective) {
-    ++counts.in_time;
-    counts.earned += load.worth;
-    return;
-  }
-  const auto lose = [&](LossCause cause, double worth) {
-    counts.lost[static_cast<std::size_t>(cause)] += worth;
-  };
-  if (!answered) {
-    ++(caller.refused ? counts.refused : counts.failed);
-    lose(caller.refused ? LossCause::kRefused : LossCause::kFailed, load.worth);
-    return;
-  }
-  ++counts.late;
-  counts.earned += load.late_worth;
-  const double lost = load.worth - load.late_worth;
-  if (caller.tries > 1) {
-    lose(LossCause::kCameBackLate, lost);
-    return;
-  }
-  const Duration slowed =
-      FromSeconds(ToSeconds(times.worked) * (1.0 - 1.0 / times.slowdown));
-  const Duration here = end - caller.first - times.queued - times.worked;
-  if (times.queued >= slowed && times.queued >= here) {
-    lose(LossCause::kWaitedAtTarget, lost);
-  } else {
-    lose(slowed >= here ? LossCause::kSlowTarget : LossCause::kWaitedHere,
-         lost);
-  }
+  Ending ending;
+  ending.answered = answered;
+  ending.refused = caller.refused;
+  ending.tries = caller.tries;
+  ending.took = clock_.now() + scenario_.delays.caller - caller.first;
+  ending.queued = times.queued;
+  ending.worked = times.worked;
+  ending.slowdown = times.slowdown;
+  outcome_.loads[caller.load].seconds[SecondOf(caller.first)].Count(
+      ending, load.objective, load.worth, load.late_worth);
 }
 
 void Simulation::Refuse(const dispatch::RefuseCall& refused) {
