Give up a late answer only where the request can be sent again

Cause: on a connection that was used before, an answer counts as late 0.4 s or more after the call was begun, so that a silent connection is replaced. A body of 50 MB took longer than that to send, and a request that was streamed can't be sent again: the target's answer was thrown away and the caller told that the work may have run.

--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -110,7 +110,11 @@
   if (!whole) {
     lease_->stream.expires_after(kEarlyAnswerWait);
   }
-  co_return co_await ReadAnswer(lease_->reused);
+  // Giving a late answer up helps only where the request can be sent again;
+  // the time that a long body took to send is no silence of the target.
+  const bool replayable =
+      request_.body == nullptr || request_.body->replayable();
+  co_return co_await ReadAnswer(lease_->reused && replayable);
 }
 
 void Attempt::NoteSent(std::size_t bytes) {
