--- a/src/kingcupshed/daemon/route_follower.cc
+++ b/src/kingcupshed/daemon/route_follower.cc
@@ -70,13 +70,14 @@
   return compressed_;
 }
 
-void RouteFollower::ApplyFromPeer(const std::string& compressed,
+void RouteFollower::ApplyFromPeer(const std::string& vm,
+                                  const std::string& compressed,
                                   std::optional<TimePoint> current_at) {
   const auto document = compressed.empty()
                             ? std::nullopt
                             : peer::Decompress(compressed, kMaxRoutesBytes);
   if (document) {
-    ApplyDocument(*document);
+    ApplyDocument(*document, vm);
   }
   if (!compressed.empty() && !document) {
     hooks_.on_invalid_routes();
@@ -90,12 +91,13 @@
 void RouteFollower::ApplyPage(const KeyedPage& page) {
   for (const platform::KeyedRecord& record : page.records) {
     if (record.key == platform::kRoutesKey && record.value) {
-      ApplyDocument(*record.value);
+      ApplyDocument(*record.value, "");
     }
   }
 }
 
-void RouteFollower::ApplyDocument(const std::string& document) {
+void RouteFollower::ApplyDocument(const std::string& document,
+                                  const std::string& source) {
   auto routes = platform::DecodeRoutes(document);
   if (!routes) {
     hooks_.on_invalid_routes();
@@ -107,7 +109,7 @@
   version_ = routes->version;
   document_ = document;
   compressed_.clear();
-  hooks_.on_routes(*std::move(routes));
+  hooks_.on_routes(*std::move(routes), source);
 }
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/route_follower.h
+++ b/src/kingcupshed/daemon/route_follower.h
@@ -22,7 +22,8 @@
   /// Callbacks of the route follower.
   struct Hooks {
     /// Called with routes of a higher version than all before.
-    std::function<void(route::RouteTable)> on_routes;
+    /// @param source Name of the VM that sent them; empty if this VM read them.
+    std::function<void(route::RouteTable, const std::string& source)> on_routes;
     /// Called when published routes can't be decoded; they are ignored.
     std::function<void()> on_invalid_routes;
   };
@@ -40,11 +41,13 @@
   [[nodiscard]] boost::asio::awaitable<void> ReadWithoutWaiting();
 
   /// Applies routes received from another VM.
+  /// @param vm Name of the other VM.
   /// @param compressed The published routes document, compressed; empty if the
   ///   other VM has no newer one.
   /// @param current_at When the other VM's routes were last known to be the
   ///   newest.
-  void ApplyFromPeer(const std::string& compressed,
+  void ApplyFromPeer(const std::string& vm,
+                     const std::string& compressed,
                      std::optional<TimePoint> current_at);
 
   /// Returns true while a read is in progress.
@@ -70,7 +73,7 @@
 
  private:
   void ApplyPage(const platform::KeyedPage& page);
-  void ApplyDocument(const std::string& document);
+  void ApplyDocument(const std::string& document, const std::string& source);
 
   const platform::Store& store_;
   Hooks hooks_;
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -99,6 +99,17 @@
       std::chrono::ceil<std::chrono::milliseconds>(now - since).count());
 }
 
+std::string InMs(Duration duration) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  return std::to_string(ms.count()) + " ms";
+}
+
+/// Returns the age of data for the log.
+std::string AgeText(std::optional<TimePoint> current_at) {
+  return current_at ? InMs(Now() - *current_at) : "none";
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(asio::io_context& io,
@@ -122,7 +133,13 @@
              HandleRequest(request, response);
            }}),
       routes_(store_,
-              {hooks_.on_routes,
+              {[this](route::RouteTable routes, const std::string& source) {
+                 hooks_.on_event(
+                     "routes_received",
+                     "version " + std::to_string(ToIndex(routes.version)) +
+                         " from " + (source.empty() ? "the store" : source));
+                 hooks_.on_routes(std::move(routes));
+               },
                [this] {
                  hooks_.on_event("routes_not_usable",
                                  "the active routes are kept");
@@ -162,9 +179,10 @@
                     (1U << std::min(store_failures_, kMaxBackoffDoublings)));
 }
 
-void StoreFollower::RecordStoreRead(bool succeeded) {
+void StoreFollower::RecordStoreRead(bool succeeded, Duration elapsed) {
   if (succeeded != store_reachable_) {
-    hooks_.on_event(succeeded ? "store_regained" : "store_lost", "");
+    hooks_.on_event(succeeded ? "store_regained" : "store_lost",
+                    "read of targets took " + InMs(elapsed));
   }
   store_reachable_ = succeeded;
   store_failures_ = succeeded ? 0 : store_failures_ + 1;
@@ -193,11 +211,16 @@
                                             : kCheckInterval);
       continue;
     }
+    const TimePoint sent_at = Now();
     const StoreStatus status =
         co_await routes_.Read(reader ? kRoutePollWait : Duration::zero());
     if (status == StoreStatus::kDone || status == StoreStatus::kExpired) {
       continue;
     }
+    hooks_.on_event("routes_read_failed",
+                    "after " + InMs(Now() - sent_at) + "; routes known to be " +
+                        "current " +
+                        AgeText(routes_.freshness().last_current()) + " ago");
     if (store_reachable_) {
       // A slow store can still complete a read that doesn't wait, which has a
       // longer timeout.
@@ -260,7 +283,7 @@
     targets_next_offset_.reset();
     co_return false;
   }
-  RecordStoreRead(page.status == StoreStatus::kDone);
+  RecordStoreRead(page.status == StoreStatus::kDone, Now() - requested_at);
   if (page.status != StoreStatus::kDone) {
     catalog_.OnOutage(Now());
     health_.OnFailure(Now());
@@ -322,11 +345,13 @@
 /// @return True if one of them had fresh data.
 asio::awaitable<bool> StoreFollower::PollPeers() {
   stale_peers_.clear();
+  round_results_.clear();
   for (const std::string& vm : readers_.PeersToPoll(Now())) {
     const PollResult result = co_await PollPeer(vm);
     if (result == PollResult::kFresh) {
       readers_.ClearSuspicion(vm);
       SuspectStalePeers();
+      RecordPollRound(vm);
       peer_responded_ = true;
       co_return true;
     }
@@ -336,6 +361,7 @@
       stale_peers_.push_back(vm);
     }
   }
+  RecordPollRound("");
   peer_responded_ = !stale_peers_.empty();
   if (!targets_read_at_ || Now() - *targets_read_at_ > kOutageStaleness) {
     catalog_.OnOutage(Now());
@@ -343,6 +369,21 @@
   co_return false;
 }
 
+/// Returns the result's name for the log.
+const char* StoreFollower::PollResultName(PollResult result) {
+  switch (result) {
+    case PollResult::kFresh:
+      return "fresh";
+    case PollResult::kStale:
+      return "stale";
+    case PollResult::kNoData:
+      return "no_data";
+    case PollResult::kNoResponse:
+      return "no_response";
+  }
+  return "";
+}
+
 /// Suspects the VMs that had stale data, now that fresh data was received from
 /// elsewhere: the store is available, but they can't read it.
 void StoreFollower::SuspectStalePeers() {
@@ -377,7 +418,7 @@
         result = published == nullptr ? PollResult::kNoResponse
                                       : PollResult::kNoData;
         if (published != nullptr && published->known() &&
-            ApplyPublished(*published, requested_at)) {
+            ApplyPublished(vm, *published, requested_at)) {
           const Duration age = std::chrono::milliseconds(published->age_ms());
           targets_read_at_ = std::max(targets_read_at_.value_or(TimePoint{}),
                                       requested_at - age);
@@ -396,13 +437,29 @@
   if (*result == PollResult::kFresh) {
     catalog_.OnReadSucceeded(Now());
   }
+  round_results_ += " " + vm + ":" + PollResultName(*result) +
+                    ",targets=" + AgeText(targets_read_at_) +
+                    ",routes=" + AgeText(routes_.freshness().last_current());
   co_return *result;
 }
 
+/// Logs when the polled VMs stop having fresh data, and when one has it again.
+/// @param fresh_source The VM that had it; empty if none had.
+void StoreFollower::RecordPollRound(const std::string& fresh_source) {
+  const bool stale = fresh_source.empty();
+  if (stale != sources_stale_) {
+    hooks_.on_event(stale ? "sources_stale" : "sources_fresh",
+                    "polled" + round_results_);
+  }
+  sources_stale_ = stale;
+}
+
 /// Applies the data received from another VM.
+/// @param vm Name of the other VM.
 /// @param requested_at When the other VM was polled.
 /// @return False if the response is malformed.
-bool StoreFollower::ApplyPublished(const peer::wire::Published& published,
+bool StoreFollower::ApplyPublished(const std::string& vm,
+                                   const peer::wire::Published& published,
                                    TimePoint requested_at) {
   KeyedPage page;
   page.status = StoreStatus::kDone;
@@ -425,13 +482,13 @@
     targets_next_offset_ = page.next_offset;
   }
   routes_.ApplyFromPeer(
-      published.routes(),
+      vm, published.routes(),
       published.has_routes_age_ms()
           ? std::optional(requested_at -
                           std::chrono::milliseconds(published.routes_age_ms()))
           : std::nullopt);
-  for (const peer::wire::VmPlace& vm : published.vms()) {
-    UpdatePeer(vm.vm(), vm.zone(), vm.peer_address());
+  for (const peer::wire::VmPlace& place : published.vms()) {
+    UpdatePeer(place.vm(), place.zone(), place.peer_address());
   }
   return true;
 }
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -30,8 +30,8 @@
   std::function<void()> on_targets;
   /// Called when the number of known VMs, including this one, has changed.
   std::function<void(std::size_t count)> on_vms;
-  /// Called with an event for the log: the store was lost or regained, or data
-  /// was invalid.
+  /// Called with an event for the log: the store or the VMs that are polled
+  /// were lost or regained, routes came from somewhere, or data was invalid.
   std::function<void(std::string kind, std::string detail)> on_event;
 };
 
@@ -87,6 +87,7 @@
     kNoResponse,
   };
 
+  static const char* PollResultName(PollResult result);
   boost::asio::awaitable<void> FollowRoutes();
   boost::asio::awaitable<void> FollowTargets();
   boost::asio::awaitable<void> ReadRoutesIfPollUnreliable();
@@ -103,7 +104,8 @@
   const std::string& CompressAllTargets();
   void HandleRequest(const peer::wire::PublishedRequest& request,
                      peer::wire::Published& response);
-  [[nodiscard]] bool ApplyPublished(const peer::wire::Published& published,
+  [[nodiscard]] bool ApplyPublished(const std::string& vm,
+                                    const peer::wire::Published& published,
                                     TimePoint requested_at);
   void ApplyTargets(const Page& page, bool complete);
   void UpdatePeer(const std::string& vm,
@@ -111,7 +113,8 @@
                   const std::string& peer_address);
   void ApplyVmList(const Page& page);
   void UpdateReaders();
-  void RecordStoreRead(bool succeeded);
+  void RecordStoreRead(bool succeeded, Duration elapsed);
+  void RecordPollRound(const std::string& fresh_source);
   [[nodiscard]] bool ShouldReadNow(TimePoint now,
                                    std::optional<TimePoint> current_at) const;
 
@@ -152,6 +155,10 @@
   bool peer_responded_ = false;
   /// VMs that responded without fresh data in that round.
   std::vector<std::string> stale_peers_;
+  /// Results of that round, for the log.
+  std::string round_results_;
+  /// True if no VM had fresh data in the last round, or none was polled yet.
+  bool sources_stale_ = true;
 };
 
 }  // namespace kingcupshed::daemon
