--- a/src/kingcupshed/catalog/reader_selector.cc
+++ b/src/kingcupshed/catalog/reader_selector.cc
@@ -48,15 +48,20 @@
   return std::clamp(kMaxAgeAtPoll - data_age, kMinPollDelay, interval);
 }
 
+std::vector<std::string> InReaderOrder(std::vector<std::string> vms) {
+  std::sort(vms.begin(), vms.end(),
+            [](const std::string& a, const std::string& b) {
+              return std::pair(HashOfName(a), a) < std::pair(HashOfName(b), b);
+            });
+  return vms;
+}
+
 void ReaderSelector::SetVms(const std::vector<std::string>& vms) {
   order_ = vms;
   if (std::find(order_.begin(), order_.end(), self_) == order_.end()) {
     order_.push_back(self_);
   }
-  std::sort(order_.begin(), order_.end(),
-            [](const std::string& a, const std::string& b) {
-              return std::pair(HashOfName(a), a) < std::pair(HashOfName(b), b);
-            });
+  order_ = InReaderOrder(std::move(order_));
 }
 
 std::vector<std::string> ReaderSelector::PeersToPoll(TimePoint now) const {
--- a/src/kingcupshed/catalog/reader_selector.h
+++ b/src/kingcupshed/catalog/reader_selector.h
@@ -34,6 +34,12 @@
 [[nodiscard]] Duration NextPollDelay(Duration data_age,
                                      Duration interval) noexcept;
 
+/// Sorts the VMs of a zone in the order in which they become its reader; the
+/// same on every VM.
+/// @param vms Names of the VMs.
+[[nodiscard]] std::vector<std::string> InReaderOrder(
+    std::vector<std::string> vms);
+
 /// Selects the VM of a zone that reads the platform's store on behalf of the
 /// others.
 ///
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -76,19 +76,28 @@
   return std::chrono::milliseconds(value.to_number<std::int64_t>());
 }
 
+std::set<std::string> ParseSenders(const json::value& value) {
+  std::set<std::string> senders;
+  for (const json::value& sender : value.as_array()) {
+    senders.emplace(sender.as_string());
+  }
+  return senders;
+}
+
 /// A key of `POST /control` and the setting it changes.
 struct ControlKey {
   std::string_view name;
   void (*apply)(PlatformControl&, const json::value&);
 };
 
-constexpr std::array<ControlKey, 10> kControlKeys{{
+constexpr std::array<ControlKey, 11> kControlKeys{{
     {"refused_senders",
      [](PlatformControl& control, const json::value& value) {
-       control.refused_senders.clear();
-       for (const json::value& sender : value.as_array()) {
-         control.refused_senders.emplace(sender.as_string());
-       }
+       control.refused_senders = ParseSenders(value);
+     }},
+    {"silenced_senders",
+     [](PlatformControl& control, const json::value& value) {
+       control.silenced_senders = ParseSenders(value);
      }},
     {"lose_polls",
      [](PlatformControl& control, const json::value& value) {
@@ -315,6 +324,9 @@
   if (control_.refused_senders.count(request.source) > 0) {
     co_return ErrorResponse(503, "requests of this client are refused");
   }
+  if (IsSilenced(request.source)) {
+    co_return co_await StaySilent(request.source);
+  }
   Response response = co_await RouteRequest(std::move(request));
   co_await Sleep(one_way);
   co_return response;
@@ -397,6 +409,19 @@
   co_return response;
 }
 
+asio::awaitable<Response> Platform::StaySilent(std::string source) {
+  while (IsSilenced(source)) {
+    co_await WaitForChange(Clock::time_point::max());
+  }
+  Response response;
+  response.drop = true;
+  co_return response;
+}
+
+bool Platform::IsSilenced(const std::string& source) const {
+  return control_.silenced_senders.count(source) > 0;
+}
+
 Response Platform::Append(const Request& request) {
   const auto now = Clock::now();
   const std::string topic = QueryText(request, "topic");
@@ -461,13 +486,16 @@
     co_await Sleep(deadline - Clock::now());
   }
   while (store_.end_offset(topic) <= from && Clock::now() < deadline &&
-         control_.outage == Outage::kNone) {
+         control_.outage == Outage::kNone && !IsSilenced(request.source)) {
     co_await WaitForChange(deadline);
     PublishListChanges(Clock::now());
   }
   if (control_.outage != Outage::kNone) {
     co_return co_await RespondDuringOutage();
   }
+  if (IsSilenced(request.source)) {
+    co_return co_await StaySilent(request.source);
+  }
   store_.Expire(control_.retention, Clock::now());
   if (from < store_.first_offset(topic)) {
     Response truncated =
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -46,6 +46,9 @@
   bool withhold_poll_responses = false;
   /// IP addresses of clients whose requests are refused with 503.
   std::set<std::string> refused_senders;
+  /// IP addresses of clients whose requests get no response, including reads
+  /// that are waiting.
+  std::set<std::string> silenced_senders;
 };
 
 /// Counters since the start.
@@ -135,6 +138,9 @@
                      const std::vector<std::string>& contents,
                      Clock::time_point now);
   boost::asio::awaitable<void> Sleep(Clock::duration duration);
+  /// Waits until the client is no longer silenced.
+  boost::asio::awaitable<Response> StaySilent(std::string source);
+  [[nodiscard]] bool IsSilenced(const std::string& source) const;
   boost::asio::awaitable<void> WaitForChange(Clock::time_point deadline);
   void WakeAll();
   [[nodiscard]] Clock::duration OneWayDelay(const std::string& source) const;
--- a/test/kingcupshed/daemon/store_follower.cc
+++ b/test/kingcupshed/daemon/store_follower.cc
@@ -1,6 +1,10 @@
 #include "kingcupshed/daemon/store_follower.h"
 
 #include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <string>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -22,6 +26,10 @@
          vm.HasActiveTarget("a-2");
 }
 
+/// Bound on the time from a confirmed version to its use, and on the time for
+/// which a leaving target gets calls, of the smallest deployment.
+constexpr Duration kChangeBound = std::chrono::milliseconds(2500);
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(StoreFollowerTest, support::StoreRig)
@@ -159,6 +167,50 @@
   }
 }
 
+// Issue 18, lestage-passerelle-grown trouble-1 --seed 246486876179.
+BOOST_AUTO_TEST_CASE(RoutesAreInTimeWhileTheStoreIsSilentToTheFirstReaders) {
+  std::vector<Vm*> vms;
+  for (const char* zone : {"z", "z", "z", "z", "z", "z", "y", "y"}) {
+    vms.push_back(&AddVm(zone));
+  }
+  const auto all_have = [&](const std::vector<Vm*>& some,
+                            std::uint64_t version) {
+    return std::all_of(some.begin(), some.end(), [&](const Vm* vm) {
+      return HasAllData(*vm) && vm->versions.back() >= version;
+    });
+  };
+  RunUntil([&] {
+    return all_have(vms, 1) &&
+           std::all_of(vms.begin(), vms.end(), [&](const Vm* vm) {
+             return vm->fleet_size == vms.size();
+           });
+  });
+  // After this time the VMs no longer consider the store degraded, as they do
+  // after their start.
+  RunFor(std::chrono::seconds(6));
+  std::vector<const Vm*> silenced = InReaderOrder("z");
+  silenced.resize(2);
+  std::vector<Vm*> served;
+  std::copy_if(vms.begin(), vms.end(), std::back_inserter(served),
+               [&](const Vm* vm) {
+                 return std::count(silenced.begin(), silenced.end(), vm) == 0;
+               });
+  SilenceStoreFor(silenced);
+  // One version is published right after the silence begins, one long after.
+  for (const std::uint64_t version : {2U, 3U}) {
+    PublishRoutes(version);
+    ControlStandin(version == 2 ? R"({"targets": {"a-1": "leaving"}})"
+                                : R"({"targets": {"a-2": "leaving"}})");
+    RunFor(kChangeBound);
+    const std::string target = version == 2 ? "a-1" : "a-2";
+    for (const Vm* vm : served) {
+      BOOST_TEST(vm->versions.back() == version, vm->name << ": routes");
+      BOOST_TEST(!vm->HasActiveTarget(target), vm->name << ": " << target);
+    }
+    RunFor(std::chrono::seconds(2));
+  }
+}
+
 // In a zone where many VMs were replaced, the VMs to poll no longer exist, so a
 // VM reads the targets itself. It used to read no routes until it had suspected
 // each of them (lestage-passerelle-grown hunt-613b-3).
--- a/test/support/store_rig.h
+++ b/test/support/store_rig.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,9 +13,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "kingcupshed/catalog/reader_selector.h"
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/daemon/store_follower.h"
 #include "kingcupshed/platform/documents.h"
@@ -31,8 +37,11 @@
     Vm(boost::asio::io_context& io,
        const std::string& store_address,
        daemon::VmEndpoint self,
-       const std::string& source)
-        : store(store_address, source),
+       const std::string& source_address)
+        : name(self.vm),
+          zone(self.zone),
+          source(source_address),
+          store(store_address, source),
           follower(io, store, std::move(self), false, MakeHooks()) {}
 
     daemon::StoreHooks MakeHooks() {
@@ -57,6 +66,10 @@
       return found != targets.end() && !found->second.leaving;
     }
 
+    std::string name;
+    std::string zone;
+    /// Address from which the VM calls the store.
+    std::string source;
     platform::Store store;
     std::vector<std::uint64_t> versions;
     std::vector<std::string> events;
@@ -85,12 +98,12 @@
   StoreRig(const StoreRig&) = delete;
   StoreRig& operator=(const StoreRig&) = delete;
 
-  /// Starts a VM; all VMs are in the same availability zone.
-  Vm& AddVm() {
+  /// Starts a VM.
+  Vm& AddVm(const std::string& zone = "z") {
     const std::string ip = prefix_ + "." + std::to_string(10 + vms_.size());
     const std::string name = "vm-" + std::to_string(vms_.size() + 1);
     vms_.push_back(std::make_unique<Vm>(
-        io_, StoreAddress(), daemon::VmEndpoint{name, "z", ip + ":7101"}, ip));
+        io_, StoreAddress(), daemon::VmEndpoint{name, zone, ip + ":7101"}, ip));
     BOOST_REQUIRE(vms_.back()->follower.Start());
     return *vms_.back();
   }
@@ -148,6 +161,44 @@
     return state.at(counter).to_number<std::uint64_t>();
   }
 
+  /// Makes the store send no response to some VMs and respond to all others.
+  void SilenceStoreFor(const std::vector<const Vm*>& vms) {
+    boost::json::array senders;
+    for (const Vm* vm : vms) {
+      senders.emplace_back(vm->source);
+    }
+    ControlStandin(boost::json::serialize(
+        boost::json::object{{"silenced_senders", std::move(senders)}}));
+  }
+
+  /// Returns the VMs of an availability zone, ordered as they select their
+  /// reader.
+  [[nodiscard]] std::vector<const Vm*> InReaderOrder(
+      const std::string& zone) const {
+    std::vector<const Vm*> vms;
+    std::vector<std::string> names;
+    for (const auto& vm : vms_) {
+      if (vm->zone == zone) {
+        vms.push_back(vm.get());
+        names.push_back(vm->name);
+      }
+    }
+    const std::vector<std::string> order = catalog::InReaderOrder(names);
+    std::sort(vms.begin(), vms.end(), [&](const Vm* a, const Vm* b) {
+      return std::find(order.begin(), order.end(), a->name) <
+             std::find(order.begin(), order.end(), b->name);
+    });
+    return vms;
+  }
+
+  /// Runs the event loop for a time.
+  void RunFor(Duration duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    while (std::chrono::steady_clock::now() < end) {
+      io_.run_one_until(end);
+    }
+  }
+
   /// Runs the event loop until a condition holds.
   void RunUntil(const std::function<bool()>& condition) {
     while (!condition()) {
