Poll other VMs while a read of the store is overdue

Cause: a reader did one thing at a time. With the store silent it waited 1.5 s for the targets, asked nobody meanwhile, then waited 1.9 s for a parallel read of the routes before its next round. All VMs of its zone poll it, and the second in the order was silenced too, so the zone had no source for 3.9 s.

A read of targets that a healthy store would have answered is now overdue after 300 ms: the reader counts as failing and polls the VMs behind it while the read goes on. The parallel read of routes no longer holds up the round; one at a time is in flight. What a read brings late can't make data look older: the offset and the instant of the newest data only rise.

--- a/src/kingcupshed/daemon/route_follower.cc
+++ b/src/kingcupshed/daemon/route_follower.cc
@@ -50,13 +50,15 @@
 }
 
 asio::awaitable<void> RouteFollower::ReadWithoutWaiting() {
-  if (!next_offset_) {
+  if (!next_offset_ || parallel_read_in_progress_) {
     co_return;
   }
+  parallel_read_in_progress_ = true;
   const TimePoint sent_at = Now();
   std::string topic(platform::kOperatorTopic);
   const KeyedPage page = co_await store_.ReadFrom(
       std::move(topic), *next_offset_, Duration::zero());
+  parallel_read_in_progress_ = false;
   if (page.status == StoreStatus::kDone) {
     ApplyPage(page);
     freshness_.OnRead(sent_at);
--- a/src/kingcupshed/daemon/route_follower.h
+++ b/src/kingcupshed/daemon/route_follower.h
@@ -37,7 +37,7 @@
       Duration wait);
 
   /// Reads pending changes without waiting, in parallel to a long poll. Does
-  /// nothing before the first read.
+  /// nothing before the first read, nor while such a read is in progress.
   [[nodiscard]] boost::asio::awaitable<void> ReadWithoutWaiting();
 
   /// Applies routes received from another VM.
@@ -86,6 +86,8 @@
   /// Offset to continue reading from; nothing to list the topic again.
   std::optional<LogOffset> next_offset_;
   bool read_in_progress_ = false;
+  /// True while a read in parallel to a long poll is in progress.
+  bool parallel_read_in_progress_ = false;
 };
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -37,6 +37,10 @@
 /// Data read by another VM is fresh up to this age; when it is older, the next
 /// VM is polled.
 constexpr Duration kMaxFreshAge = std::chrono::milliseconds(1600);
+/// A read of targets without a response after this time counts as failing: 4 ms
+/// at the store, a round trip between regions and a margin. Other VMs are then
+/// polled while it goes on.
+constexpr Duration kOverdueRead = std::chrono::milliseconds(300);
 constexpr Duration kPeerPollTimeout = std::chrono::milliseconds(300);
 /// The same for a VM that has no data yet and requests all of it, at the same
 /// time as other VMs of its zone.
@@ -145,7 +149,8 @@
                                  "the active routes are kept");
                }}),
       readers_(self_.vm),
-      started_at_(Now()) {}
+      started_at_(Now()),
+      target_read_ended_(io) {}
 
 bool StoreFollower::Start() {
   if (!server_.Listen(self_.peer_address)) {
@@ -236,13 +241,14 @@
     if (!readers_.IsReader(Now()) || readers_.IsSelfSuspected(Now())) {
       updated = co_await PollPeers();
     }
-    if (!updated && Now() >= next_read_at_ &&
+    if (!updated && !target_read_pending_ && Now() >= next_read_at_ &&
         ShouldReadNow(Now(), targets_read_at_)) {
-      updated = co_await ReadTargets();
-      next_read_at_ =
-          store_failures_ == 0 ? TimePoint{} : Now() + NextBackoff();
+      updated = co_await ReadTargetsUnlessOverdue();
+      if (target_read_pending_) {
+        continue;
+      }
     }
-    co_await ReadRoutesIfPollUnreliable();
+    ReadRoutesIfPollUnreliable();
     if (updated) {
       const Duration interval =
           FromSeconds((1.0 - kPollIntervalSpread / 2 +
@@ -260,16 +266,60 @@
 /// Reads the routes in parallel to a long poll that is unreliable: one that was
 /// sent before the store's last disturbance, or that has gone without a
 /// response for too long.
-asio::awaitable<void> StoreFollower::ReadRoutesIfPollUnreliable() {
+void StoreFollower::ReadRoutesIfPollUnreliable() {
   const TimePoint now = Now();
   const bool degraded = readers_.IsReader(now) && health_.IsDegraded(now);
   if (routes_.read_in_progress() &&
       (degraded || routes_.freshness().IsStale(now))) {
-    co_await routes_.ReadWithoutWaiting();
+    asio::co_spawn(io_, routes_.ReadWithoutWaiting(), asio::detached);
   }
 }
 
-asio::awaitable<bool> StoreFollower::ReadTargets() {
+/// Reads the targets. Stops waiting when the read is overdue; the read goes on,
+/// unless it is the first one, for which there is nothing to do meanwhile.
+/// @return True if the read brought an update in time.
+asio::awaitable<bool> StoreFollower::ReadTargetsUnlessOverdue() {
+  const bool first_read = !targets_next_offset_;
+  target_read_pending_ = true;
+  if (first_read) {
+    target_read_ended_.expires_at(asio::steady_timer::time_point::max());
+  } else {
+    target_read_ended_.expires_after(kOverdueRead);
+  }
+  asio::co_spawn(io_, ReadTargets(), asio::detached);
+  if (target_read_pending_) {
+    boost::system::error_code error;
+    co_await target_read_ended_.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (target_read_pending_) {
+    OnTargetReadOverdue();
+    co_return false;
+  }
+  co_return target_read_succeeded_;
+}
+
+void StoreFollower::OnTargetReadOverdue() {
+  const TimePoint now = Now();
+  if (!readers_.IsSelfSuspected(now)) {
+    hooks_.on_event(
+        "store_read_overdue",
+        "no response after " + InMs(kOverdueRead) + "; other VMs are polled");
+    readers_.Suspect(self_.vm, now);
+  }
+  health_.OnFailure(now);
+  routes_.freshness().OnStoreDegraded();
+}
+
+asio::awaitable<void> StoreFollower::ReadTargets() {
+  target_read_succeeded_ = co_await FetchTargets();
+  next_read_at_ = store_failures_ == 0 ? TimePoint{} : Now() + NextBackoff();
+  target_read_pending_ = false;
+  target_read_ended_.cancel();
+}
+
+/// @return True if the targets were read.
+asio::awaitable<bool> StoreFollower::FetchTargets() {
   const std::string topic(platform::kTargetTopic);
   const bool complete = !targets_next_offset_;
   const TimePoint requested_at = Now();
@@ -277,7 +327,7 @@
       co_await ReadTopic(store_, topic, targets_next_offset_, Duration::zero(),
                          [this, requested_at](const Page& first_listing) {
                            ApplyTargets(first_listing, false);
-                           targets_read_at_ = requested_at;
+                           RecordTargetsCurrent(requested_at);
                          });
   if (page.status == StoreStatus::kExpired) {
     targets_next_offset_.reset();
@@ -288,7 +338,9 @@
     catalog_.OnOutage(Now());
     health_.OnFailure(Now());
     routes_.freshness().OnStoreDegraded();
-    readers_.Suspect(self_.vm, Now());
+    if (!readers_.IsSelfSuspected(Now())) {
+      readers_.Suspect(self_.vm, Now());
+    }
     co_return false;
   }
   readers_.ClearSuspicion(self_.vm);
@@ -303,11 +355,19 @@
     routes_.freshness().OnStoreDegraded();
   }
   ApplyTargets(page, complete);
-  targets_next_offset_ = page.next_offset;
-  targets_read_at_ = requested_at;
+  // Another VM may have sent newer records meanwhile.
+  targets_next_offset_ =
+      std::max(targets_next_offset_.value_or(LogOffset{}), page.next_offset);
+  RecordTargetsCurrent(requested_at);
   co_return true;
 }
 
+/// Records that the known targets were read from the store at `read_at` or
+/// later.
+void StoreFollower::RecordTargetsCurrent(TimePoint read_at) {
+  targets_read_at_ = std::max(targets_read_at_.value_or(read_at), read_at);
+}
+
 void StoreFollower::ApplyTargets(const KeyedPage& page, bool complete) {
   const TimePoint now = Now();
   std::vector<std::string> names;
@@ -420,8 +480,7 @@
         if (published != nullptr && published->known() &&
             ApplyPublished(vm, *published, requested_at)) {
           const Duration age = std::chrono::milliseconds(published->age_ms());
-          targets_read_at_ = std::max(targets_read_at_.value_or(TimePoint{}),
-                                      requested_at - age);
+          RecordTargetsCurrent(requested_at - age);
           result =
               age <= kMaxFreshAge ? PollResult::kFresh : PollResult::kStale;
         }
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "kingcupshed/catalog/reader_selector.h"
 #include "kingcupshed/catalog/record_cache.h"
@@ -90,8 +91,11 @@
   static const char* PollResultName(PollResult result);
   boost::asio::awaitable<void> FollowRoutes();
   boost::asio::awaitable<void> FollowTargets();
-  boost::asio::awaitable<void> ReadRoutesIfPollUnreliable();
-  boost::asio::awaitable<bool> ReadTargets();
+  void ReadRoutesIfPollUnreliable();
+  boost::asio::awaitable<bool> ReadTargetsUnlessOverdue();
+  boost::asio::awaitable<void> ReadTargets();
+  boost::asio::awaitable<bool> FetchTargets();
+  void OnTargetReadOverdue();
   boost::asio::awaitable<bool> PollPeers();
   boost::asio::awaitable<PollResult> PollPeer(std::string vm);
   void SuspectStalePeers();
@@ -108,6 +112,7 @@
                                     const peer::wire::Published& published,
                                     TimePoint requested_at);
   void ApplyTargets(const Page& page, bool complete);
+  void RecordTargetsCurrent(TimePoint read_at);
   void UpdatePeer(const std::string& vm,
                   const std::string& zone,
                   const std::string& peer_address);
@@ -142,6 +147,12 @@
   /// All target records, compressed, and the offset that they are valid for.
   std::string compressed_targets_;
   std::optional<LogOffset> compressed_offset_;
+  /// True while a read of targets is in progress.
+  bool target_read_pending_ = false;
+  /// True if the last read of targets brought an update.
+  bool target_read_succeeded_ = false;
+  /// Cancelled when a read of targets ends.
+  boost::asio::steady_timer target_read_ended_;
   bool store_reachable_ = true;
   /// Number of consecutive reads of targets that failed.
   std::uint32_t store_failures_ = 0;
