Get data from other zones when a zone's readers can't reach the store

Of a zone in which the store refuses or ignores the VMs that others poll, and those that these poll in turn, the rest learned of a change only when its turn to read came: 0.7 s more for each place in the order.

A VM that others poll and whose own reads fail now goes on to the first VM of each other zone. These read anyway, and the request has a depth that doesn't make them read more, so an outage of the whole store costs no further calls to it. Such a VM asks every 0.4 s, since its data ages once more on the way, and data that is no newer than its own doesn't end its search: the VMs behind it may have nothing but what it sent them.

--- a/src/kingcupshed/catalog/reader_selector.cc
+++ b/src/kingcupshed/catalog/reader_selector.cc
@@ -83,6 +83,40 @@
   return peers;
 }
 
+void ReaderSelector::SetOtherZones(
+    std::vector<std::vector<std::string>> zones) {
+  other_zones_.clear();
+  for (std::vector<std::string>& vms : zones) {
+    other_zones_.push_back(InReaderOrder(std::move(vms)));
+  }
+}
+
+std::vector<PeerPoll> ReaderSelector::PollsOfRound(TimePoint now) const {
+  std::vector<PeerPoll> polls;
+  const std::uint32_t depth = RequestDepth(now);
+  for (std::string& vm : PeersToPoll(now)) {
+    polls.push_back({std::move(vm), depth});
+  }
+  if (!IsSelfSuspected(now) || !IsPolledByOthers(now)) {
+    return polls;
+  }
+  for (const std::vector<std::string>& vms : other_zones_) {
+    const auto reader = std::find_if(
+        vms.begin(), vms.end(),
+        [&](const std::string& vm) { return !IsSuspected(vm, now); });
+    if (reader != vms.end()) {
+      polls.push_back({*reader, kIgnoredRequestDepth});
+    }
+  }
+  return polls;
+}
+
+bool ReaderSelector::IsPolledByOthers(TimePoint now) const {
+  // Depth 1 means that the last request came from a VM that needs the data
+  // itself.
+  return RequestDepth(now) == 1 || SelfIndex() == 0;
+}
+
 bool ReaderSelector::IsSelfSuspected(TimePoint now) const {
   return IsSuspected(self_, now);
 }
--- a/src/kingcupshed/catalog/reader_selector.h
+++ b/src/kingcupshed/catalog/reader_selector.h
@@ -27,6 +27,13 @@
   Duration data_age{};
 };
 
+/// A poll of another VM that is due.
+struct PeerPoll {
+  std::string vm;
+  /// Depth to send with the request; see `ReaderSelector::RecordRequest`.
+  std::uint32_t depth = 0;
+};
+
 /// Returns the delay before this VM polls for updates again. Older data leaves
 /// less time, so the delay shrinks as `data_age` grows.
 /// @param data_age Age of the newest data that this VM has.
@@ -60,6 +67,17 @@
   /// read the store itself.
   [[nodiscard]] std::vector<std::string> PeersToPoll(TimePoint now) const;
 
+  /// Replaces the VMs of the other availability zones.
+  /// @param zones The VMs of each zone.
+  void SetOtherZones(std::vector<std::vector<std::string>> zones);
+
+  /// Returns the polls of one round, in the order in which they are sent until
+  /// one brings fresh data: those of `PeersToPoll`, and then the readers of the
+  /// other zones if the VMs of this zone depend on this VM and its own reads
+  /// fail. The store may be out of reach of all VMs that read in this zone, and
+  /// the readers of other zones have the same data without any more reads.
+  [[nodiscard]] std::vector<PeerPoll> PollsOfRound(TimePoint now) const;
+
   /// Returns true while this VM's own reads of the store fail.
   [[nodiscard]] bool IsSelfSuspected(TimePoint now) const;
 
@@ -74,7 +92,9 @@
 
   /// Records that another VM polled this one, which then reads the store for a
   /// while on its behalf. Requests relayed by too many VMs that can't read the
-  /// store are ignored, or all VMs would start to read during a store outage.
+  /// store are ignored, or all VMs would start to read during a store outage;
+  /// so are requests from other zones, which have the depth
+  /// `kIgnoredRequestDepth`.
   /// @param depth Number of VMs that the request was relayed by.
   void RecordRequest(std::uint32_t depth, TimePoint now) noexcept;
 
@@ -104,13 +124,20 @@
   /// Returns the index of this VM in `order_`.
   [[nodiscard]] std::size_t SelfIndex() const;
   [[nodiscard]] bool IsSuspected(const std::string& vm, TimePoint now) const;
+  /// Returns true if other VMs take their data from this one.
+  [[nodiscard]] bool IsPolledByOthers(TimePoint now) const;
+
+  /// Smallest depth of requests that don't make this VM read.
+  static constexpr std::uint32_t kIgnoredRequestDepth = 3;
 
   std::string self_;
   /// VMs of the zone in the order in which they are polled.
   std::vector<std::string> order_;
+  /// VMs of each other zone in the order in which that zone polls them.
+  std::vector<std::vector<std::string>> other_zones_;
   std::map<std::string, Suspicion> suspicions_;
   /// Time of the last request received, by its depth.
-  std::array<TimePoint, 3> last_request_{};
+  std::array<TimePoint, kIgnoredRequestDepth> last_request_{};
 };
 
 }  // namespace kingcupshed::catalog
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -31,6 +31,9 @@
 /// reader. Both together, with margin for one failed poll, stay below the time
 /// after which a leaving target must get no more work.
 constexpr Duration kTargetPollInterval = std::chrono::milliseconds(900);
+/// The same of a VM whose own reads fail and that others poll: their data is
+/// older by one interval of each VM that it has passed.
+constexpr Duration kRelayPollInterval = std::chrono::milliseconds(400);
 /// Share by which the intervals of VMs differ, so that they don't poll
 /// together.
 constexpr double kPollIntervalSpread = 0.2;
@@ -250,10 +253,12 @@
     }
     ReadRoutesIfPollUnreliable();
     if (updated) {
-      const Duration interval =
-          FromSeconds((1.0 - kPollIntervalSpread / 2 +
-                       kPollIntervalSpread * random_.Unit()) *
-                      ToSeconds(kTargetPollInterval));
+      const bool relays =
+          readers_.IsReader(Now()) && readers_.IsSelfSuspected(Now());
+      const Duration interval = FromSeconds(
+          (1.0 - kPollIntervalSpread / 2 +
+           kPollIntervalSpread * random_.Unit()) *
+          ToSeconds(relays ? kRelayPollInterval : kTargetPollInterval));
       co_await Sleep(
           catalog::NextPollDelay(Now() - *targets_read_at_, interval));
     } else {
@@ -406,8 +411,9 @@
 asio::awaitable<bool> StoreFollower::PollPeers() {
   stale_peers_.clear();
   round_results_.clear();
-  for (const std::string& vm : readers_.PeersToPoll(Now())) {
-    const PollResult result = co_await PollPeer(vm);
+  for (const catalog::PeerPoll& poll : readers_.PollsOfRound(Now())) {
+    const std::string& vm = poll.vm;
+    const PollResult result = co_await PollPeer(poll);
     if (result == PollResult::kFresh) {
       readers_.ClearSuspicion(vm);
       SuspectStalePeers();
@@ -454,7 +460,8 @@
 }
 
 asio::awaitable<StoreFollower::PollResult> StoreFollower::PollPeer(
-    std::string vm) {
+    catalog::PeerPoll poll) {
+  const std::string& vm = poll.vm;
   const auto found = peers_.find(vm);
   if (found == peers_.end()) {
     co_return PollResult::kNoResponse;
@@ -466,7 +473,7 @@
   request.set_targets_from(targets_next_offset_ ? ToIndex(*targets_next_offset_)
                                                 : 0);
   request.set_vms_known(peers_.size());
-  request.set_depth(readers_.RequestDepth(Now()));
+  request.set_depth(poll.depth);
   request.set_routes_version(routes_.version());
   asio::steady_timer responded(io_, asio::steady_timer::time_point::max());
   std::optional<PollResult> result;
@@ -480,9 +487,15 @@
         if (published != nullptr && published->known() &&
             ApplyPublished(vm, *published, requested_at)) {
           const Duration age = std::chrono::milliseconds(published->age_ms());
+          // The VMs behind one whose reads fail may have no other data than
+          // what they got from it.
+          const bool newer =
+              !targets_read_at_ || requested_at - age > *targets_read_at_;
           RecordTargetsCurrent(requested_at - age);
-          result =
-              age <= kMaxFreshAge ? PollResult::kFresh : PollResult::kStale;
+          result = age <= kMaxFreshAge &&
+                           (newer || !readers_.IsSelfSuspected(requested_at))
+                       ? PollResult::kFresh
+                       : PollResult::kStale;
         }
         responded.cancel();
       });
@@ -683,13 +696,17 @@
 }
 
 void StoreFollower::UpdateReaders() {
-  std::vector<std::string> same_zone;
+  std::map<std::string, std::vector<std::string>> zones;
   for (const auto& [name, endpoint] : peers_) {
-    if (endpoint.zone == self_.zone) {
-      same_zone.push_back(name);
-    }
+    zones[endpoint.zone].push_back(name);
+  }
+  readers_.SetVms(zones[self_.zone]);
+  zones.erase(self_.zone);
+  std::vector<std::vector<std::string>> other_zones;
+  for (auto& [zone, vms] : zones) {
+    other_zones.push_back(std::move(vms));
   }
-  readers_.SetVms(same_zone);
+  readers_.SetOtherZones(std::move(other_zones));
 }
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -81,7 +81,8 @@
   /// Outcome of polling another VM.
   enum class PollResult : std::uint8_t {
     kFresh,
-    /// The VM responded with stale data.
+    /// The VM responded with stale data, or with data no newer than that of
+    /// this VM, whose own reads fail.
     kStale,
     /// The VM responded without data, or with data that can't be decoded.
     kNoData,
@@ -97,7 +98,7 @@
   boost::asio::awaitable<bool> FetchTargets();
   void OnTargetReadOverdue();
   boost::asio::awaitable<bool> PollPeers();
-  boost::asio::awaitable<PollResult> PollPeer(std::string vm);
+  boost::asio::awaitable<PollResult> PollPeer(catalog::PeerPoll poll);
   void SuspectStalePeers();
   boost::asio::awaitable<void> RegisterSelf();
   boost::asio::awaitable<void> PollVmList();
--- a/test/kingcupshed/catalog/reader_selector.cc
+++ b/test/kingcupshed/catalog/reader_selector.cc
@@ -213,6 +213,46 @@
   }
 }
 
+std::vector<std::string> NamesOf(const std::vector<PeerPoll>& polls) {
+  std::vector<std::string> names;
+  for (const PeerPoll& poll : polls) {
+    names.push_back(poll.vm);
+  }
+  return names;
+}
+
+// Only the VMs that others depend on poll other zones, and not for the purpose
+// that these read more: polls during a store outage stay few.
+BOOST_AUTO_TEST_CASE(VmsPolledByOthersPollOtherZonesWhenOwnReadsFail) {
+  const std::vector<std::string> order = InReaderOrder(kVms);
+  const std::vector<std::string> zone_b = InReaderOrder({"b-1", "b-2", "b-3"});
+  for (const std::string& vm : kVms) {
+    ReaderSelector selector(vm);
+    selector.SetVms(kVms);
+    selector.SetOtherZones({zone_b, {"c-1"}});
+    const auto polls_other_zones = [&] {
+      const std::vector<PeerPoll> polls = selector.PollsOfRound(kStart);
+      return polls.size() > 2 && polls.back().vm == "c-1";
+    };
+    BOOST_TEST(!polls_other_zones());
+    selector.Suspect(vm, kStart);
+    BOOST_TEST(polls_other_zones() == (vm == order.front()));
+    selector.RecordRequest(0, kStart);
+    BOOST_REQUIRE(polls_other_zones());
+    const std::vector<PeerPoll> polls = selector.PollsOfRound(kStart);
+    BOOST_TEST(NamesOf(polls)[2] == zone_b.front());
+    ReaderSelector other("c-1");
+    other.SetVms({"c-0", "c-1"});
+    const bool was_reader = other.IsReader(kStart);
+    other.RecordRequest(polls.back().depth, kStart);
+    BOOST_TEST(other.IsReader(kStart) == was_reader);
+    selector.Suspect(zone_b.front(), kStart);
+    BOOST_TEST(NamesOf(selector.PollsOfRound(kStart))[2] == zone_b[1]);
+    selector.ClearSuspicion(vm);
+    BOOST_TEST(!polls_other_zones());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(VmReadsForAWhileAfterARequest) {
   for (ReaderSelector& selector : MakeSelectors()) {
     if (selector.IsReader(kStart)) {
--- a/test/kingcupshed/daemon/store_follower.cc
+++ b/test/kingcupshed/daemon/store_follower.cc
@@ -1,8 +1,8 @@
 #include "kingcupshed/daemon/store_follower.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
-#include <iterator>
 #include <string>
 #include <vector>
 
@@ -30,9 +30,67 @@
 /// which a leaving target gets calls, of the smallest deployment.
 constexpr Duration kChangeBound = std::chrono::milliseconds(2500);
 
+/// Routes that are published and a target that begins to leave, together.
+struct Change {
+  std::uint64_t version = 0;
+  const char* leaving_target = nullptr;
+};
+
+constexpr std::array<Change, 2> kChanges{{{2, "a-1"}, {3, "a-2"}}};
+
+/// The stand-in of the store and VMs that it may be silent to.
+class SilencedZone : public support::StoreRig {
+ public:
+  /// Starts VMs in zone `z` and two in zone `y`, and waits until they no longer
+  /// consider the store degraded, as they do after their start.
+  void StartTwoZones(std::size_t vms) {
+    for (std::size_t at = 0; at < vms; ++at) {
+      served_.push_back(&AddVm("z"));
+    }
+    served_.push_back(&AddVm("y"));
+    served_.push_back(&AddVm("y"));
+    const std::size_t count = served_.size();
+    RunUntil([&] {
+      return std::all_of(served_.begin(), served_.end(), [&](const Vm* vm) {
+        return HasAllData(*vm) && vm->fleet_size == count;
+      });
+    });
+    RunFor(std::chrono::seconds(6));
+  }
+
+  /// Silences the store for the VMs of zone `z` that would read it first.
+  void SilenceFirstReaders(std::size_t count) {
+    std::vector<const Vm*> silenced = InReaderOrder("z");
+    silenced.resize(count);
+    SilenceStoreFor(silenced);
+    served_.erase(std::remove_if(served_.begin(), served_.end(),
+                                 [&](const Vm* vm) {
+                                   return std::count(silenced.begin(),
+                                                     silenced.end(), vm) > 0;
+                                 }),
+                  served_.end());
+  }
+
+  /// Makes a change and checks that all VMs that the store serves follow it.
+  void CheckInForceWithinBound(const Change& change) {
+    const std::string target = change.leaving_target;
+    PublishRoutes(change.version);
+    ControlStandin(R"({"targets": {")" + target + R"(": "leaving"}})");
+    RunFor(kChangeBound);
+    for (const Vm* vm : served_) {
+      BOOST_TEST(vm->versions.back() == change.version, vm->name << ": routes");
+      BOOST_TEST(!vm->HasActiveTarget(target), vm->name << ": " << target);
+    }
+  }
+
+ private:
+  /// VMs that the store responds to.
+  std::vector<const Vm*> served_;
+};
+
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(StoreFollowerTest, support::StoreRig)
+BOOST_FIXTURE_TEST_SUITE(StoreFollowerTest, SilencedZone)
 
 BOOST_AUTO_TEST_CASE(ReadsRoutesAndTargetsAndTheirChanges) {
   Vm& vm = AddVm();
@@ -169,44 +227,21 @@
 
 // Issue 18, lestage-passerelle-grown trouble-1 --seed 246486876179.
 BOOST_AUTO_TEST_CASE(RoutesAreInTimeWhileTheStoreIsSilentToTheFirstReaders) {
-  std::vector<Vm*> vms;
-  for (const char* zone : {"z", "z", "z", "z", "z", "z", "y", "y"}) {
-    vms.push_back(&AddVm(zone));
+  StartTwoZones(6);
+  SilenceFirstReaders(2);
+  for (const Change& change : kChanges) {
+    CheckInForceWithinBound(change);
+    RunFor(std::chrono::seconds(2));
   }
-  const auto all_have = [&](const std::vector<Vm*>& some,
-                            std::uint64_t version) {
-    return std::all_of(some.begin(), some.end(), [&](const Vm* vm) {
-      return HasAllData(*vm) && vm->versions.back() >= version;
-    });
-  };
-  RunUntil([&] {
-    return all_have(vms, 1) &&
-           std::all_of(vms.begin(), vms.end(), [&](const Vm* vm) {
-             return vm->fleet_size == vms.size();
-           });
-  });
-  // After this time the VMs no longer consider the store degraded, as they do
-  // after their start.
-  RunFor(std::chrono::seconds(6));
-  std::vector<const Vm*> silenced = InReaderOrder("z");
-  silenced.resize(2);
-  std::vector<Vm*> served;
-  std::copy_if(vms.begin(), vms.end(), std::back_inserter(served),
-               [&](const Vm* vm) {
-                 return std::count(silenced.begin(), silenced.end(), vm) == 0;
-               });
-  SilenceStoreFor(silenced);
-  // One version is published right after the silence begins, one long after.
-  for (const std::uint64_t version : {2U, 3U}) {
-    PublishRoutes(version);
-    ControlStandin(version == 2 ? R"({"targets": {"a-1": "leaving"}})"
-                                : R"({"targets": {"a-2": "leaving"}})");
-    RunFor(kChangeBound);
-    const std::string target = version == 2 ? "a-1" : "a-2";
-    for (const Vm* vm : served) {
-      BOOST_TEST(vm->versions.back() == version, vm->name << ": routes");
-      BOOST_TEST(!vm->HasActiveTarget(target), vm->name << ": " << target);
-    }
+}
+
+// None of the VMs that the others poll, nor of those that these poll, can read
+// the store; another zone can.
+BOOST_AUTO_TEST_CASE(RoutesAreInTimeWhileTheStoreIsSilentToMostOfAZone) {
+  StartTwoZones(12);
+  SilenceFirstReaders(8);
+  for (const Change& change : kChanges) {
+    CheckInForceWithinBound(change);
     RunFor(std::chrono::seconds(2));
   }
 }
