Reproduce endless responses of targets, known red

The target stand-in plays eleven kinds of it: no HTTP at all, an endless field, endless fields, interim responses, responses to other calls and their body, chunk extensions, trailers, chunks, a body without a length, and bytes after a whole response.

EndlessResponseTest drives each kind through the platform's routes: the call must be over within its route's timeout and half a second, served by another target or ended with 502 where it may run only once, the target's connection closed, and other calls answered within their objective. The system test gives the same to a VM's process: 64 MiB, no lasting descriptors, other calls in time.

--- a/standin/target_connection.cc
+++ b/standin/target_connection.cc
@@ -21,6 +21,7 @@
 
 #include "kingcupshed/http/address.h"
 #include "kingcupshed/http/headers.h"
+#include "standin/endless_response.h"
 #include "standin/generated_file.h"
 
 namespace standin {
@@ -171,6 +172,8 @@
   asio::awaitable<std::optional<Upload>> ReadBody(Parser& parser);
   asio::awaitable<void> WaitForPeerClose();
   asio::awaitable<void> DiscardInput();
+  asio::awaitable<void> WriteEndlessly(const Head& head,
+                                       const EndlessResponse& response);
   asio::awaitable<bool> WriteText(const Head& head,
                                   unsigned code,
                                   std::string body,
@@ -349,6 +352,10 @@
   if (fault == "late") {
     co_await Sleep(target_.behaviour.late_delay);
   }
+  if (const EndlessResponse* endless = FindEndlessResponse(fault)) {
+    co_await WriteEndlessly(head, *endless);
+    co_return false;
+  }
   const std::string_view path(head.target().data(), head.target().size());
   if (const auto size = FileSize(path); size && upload.size == 0) {
     const GeneratedFile file(path);
@@ -416,6 +423,25 @@
   response.keep_alive(!state_.over_cap);
 }
 
+/// Writes until the caller closes the connection.
+asio::awaitable<void> Session::WriteEndlessly(const Head& head,
+                                              const EndlessResponse& response) {
+  const std::string name = std::string(http::kCallHeader) + ": ";
+  const std::string own =
+      name + std::string(Field(head, http::kCallHeader)) + "\r\n";
+  const std::string foreign = name + "another-call\r\n";
+  const std::string start = WithFields(response.start, own, foreign);
+  const std::string repeated =
+      RepeatForWrite(WithFields(response.repeated, own, foreign));
+  boost::system::error_code error;
+  auto token = asio::redirect_error(use_awaitable, error);
+  co_await asio::async_write(socket_, asio::buffer(start), token);
+  while (!error) {
+    target_.counters.bytes_out += repeated.size();
+    co_await asio::async_write(socket_, asio::buffer(repeated), token);
+  }
+}
+
 asio::awaitable<bool> Session::WriteText(const Head& head,
                                          unsigned code,
                                          std::string body,
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -47,6 +47,9 @@
   /// True to send nothing until `ReleaseHeldResponses` is called or the
   /// connection ends.
   bool hold_response = false;
+  /// Bytes to send every millisecond after `bytes`, until the server closes the
+  /// connection; empty for none.
+  std::string repeated = {};
 };
 
 /// A server that routes by path, with targets that send scripted responses.
@@ -136,6 +139,12 @@
   [[nodiscard]] std::size_t aborted_requests() const {
     return aborted_requests_;
   }
+  /// Returns the number of endless responses that targets are sending.
+  [[nodiscard]] std::size_t endless_responses() const {
+    return endless_responses_;
+  }
+  /// Returns how many bytes of endless responses targets have sent.
+  [[nodiscard]] std::size_t endless_bytes() const { return endless_bytes_; }
   [[nodiscard]] http::Server& server() { return *server_; }
 
   /// Lets targets send the responses that they hold, now and from now on.
@@ -277,6 +286,10 @@
         co_await HoldResponse(socket);
       }
       co_await asio::async_write(socket, asio::buffer(response.bytes), token);
+      if (!response.repeated.empty()) {
+        co_await SendEndlessly(socket, response.repeated);
+        co_return;
+      }
       if (response.reset) {
         // The destructor would close the connection gracefully.
         socket.set_option(asio::socket_base::linger(true, 0), error);
@@ -288,6 +301,22 @@
     }
   }
 
+  asio::awaitable<void> SendEndlessly(asio::ip::tcp::socket& socket,
+                                      const std::string& repeated) {
+    constexpr Duration kInterval = std::chrono::milliseconds(1);
+    ++endless_responses_;
+    boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    asio::steady_timer timer(io_);
+    while (!error) {
+      timer.expires_after(kInterval);
+      co_await timer.async_wait(asio::use_awaitable);
+      endless_bytes_ +=
+          co_await asio::async_write(socket, asio::buffer(repeated), token);
+    }
+    --endless_responses_;
+  }
+
   /// Waits until responses are released or the connection has ended.
   asio::awaitable<void> HoldResponse(asio::ip::tcp::socket& socket) {
     if (responses_released_) {
@@ -375,6 +404,8 @@
   std::set<asio::steady_timer*> held_responses_;
   bool responses_released_ = false;
   std::size_t aborted_requests_ = 0;
+  std::size_t endless_responses_ = 0;
+  std::size_t endless_bytes_ = 0;
   http::SessionLimits limits_;
   placement::Placer placer_;
   http::DispatchDriver driver_;
