Limit the unparsed bytes of a connection to a target

What happened: a target that sends a chunk extension or a trailer without end took 765 MB, then 1,019 MB of a VM's memory in the system test, which is a killed process on the users' platform and every call of that VM with it.

Cause: the parser limits heads, but collects a chunk's head and the trailer in the read buffer until their end comes; the buffer had no limit.

The buffer now ends at 64 KiB, four times the limit on heads; the read then fails like any other malformed response.

--- a/src/kingcupshed/http/internal/message.h
+++ b/src/kingcupshed/http/internal/message.h
@@ -26,6 +26,9 @@
 inline constexpr std::size_t kChunkBytes = 32UL * 1024;
 /// Maximum header size accepted from callers and targets.
 inline constexpr std::uint32_t kMaxHeaderBytes = 16U * 1024;
+/// Maximum of unparsed bytes buffered for a connection. The parser has no limit
+/// of its own for chunk extensions and trailers.
+inline constexpr std::size_t kMaxReadBufferBytes = 64UL * 1024;
 
 /// Returns the value of a header field, empty when absent.
 template <typename Head>
--- a/src/kingcupshed/http/internal/target_pool.h
+++ b/src/kingcupshed/http/internal/target_pool.h
@@ -20,7 +20,7 @@
       : stream(executor), target(target) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxReadBufferBytes};
   TargetId target;
   /// Last time at which the connection is known to have worked.
   TimePoint last_active{};
