Limit the responses that are skipped before a call's own

What callers saw in the test: 504 at the deadline in place of 502 or another target's response, while the VM read 5.6 to 7.4 MB of interim responses or responses to other calls, as fast as they came.

Cause: both are rightly skipped, but for as long as they come.

Now at most 16 responses are skipped, and the body of a skipped one is read up to the limit on buffered responses. After that the response counts as lost.

--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -23,6 +23,9 @@
 constexpr Duration kBufferedBodyTimeout = std::chrono::seconds(3);
 /// A reused connection without a response for this long may be dead.
 constexpr Duration kSilenceThreshold = std::chrono::milliseconds(400);
+/// Limit on the responses before the one to this call: interim ones, and ones
+/// to earlier calls.
+constexpr int kMaxSkippedResponses = 16;
 constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMinNonSuccessStatus = 300;
 constexpr unsigned kMinServerErrorStatus = 500;
@@ -221,7 +224,10 @@
     lease_->stream.expires_at(time_out_when_late ? std::min(late, limit)
                                                  : limit);
   }
-  for (;;) {
+  for (int skipped_responses = 0;; ++skipped_responses) {
+    if (skipped_responses > kMaxSkippedResponses) {
+      co_return ExchangeResult::kNoResponse;
+    }
     const boost::system::error_code error = co_await ReadHead();
     if (error == beast::error::timeout && time_out_when_late && Now() < limit) {
       pool_.Suspect(target_, lease_->sent);
@@ -287,6 +293,7 @@
   }
   std::array<char, kChunkBytes> chunk;
   boost::system::error_code error;
+  std::size_t skipped_bytes = 0;
   while (!response_->is_done()) {
     response_->get().body().data = chunk.data();
     response_->get().body().size = chunk.size();
@@ -296,6 +303,10 @@
     if (error && error != beast::http::error::need_buffer) {
       co_return false;
     }
+    skipped_bytes += chunk.size() - response_->get().body().size;
+    if (skipped_bytes > request_.max_buffered_response_bytes) {
+      co_return false;
+    }
   }
   co_return true;
 }
