End a forwarded body without a length at the call's deadline

What callers saw in the test: a body in chunks or without a length that never ended, forwarded for as long as the caller read, with a connection and a slot of the target held.

Cause: the deadline ends with the head of the response; a body had only the timeout between two reads.

A routed call's body without a length must now be complete by the call's deadline. Then both connections are closed, without a last chunk, so the caller can tell that it isn't complete. A body with a length ends by itself and keeps its limits. The product's own interface is unchanged.

--- a/src/kingcupshed/http/internal/body_relay.cc
+++ b/src/kingcupshed/http/internal/body_relay.cc
@@ -46,13 +46,17 @@
 asio::awaitable<RelayResult> BodyRelay::Forward(beast::tcp_stream& target,
                                                 beast::flat_buffer& buffer,
                                                 ResponseParser& response,
-                                                Duration idle_timeout) {
+                                                RelayLimits limits) {
   std::array<char, kChunkBytes> chunk;
   boost::system::error_code error;
   while (!response.is_done()) {
     response.get().body().data = chunk.data();
     response.get().body().size = chunk.size();
-    target.expires_after(idle_timeout);
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now >= limits.end) {
+      co_return RelayResult::kTargetFailed;
+    }
+    target.expires_at(std::min(now + limits.idle_timeout, limits.end));
     co_await beast::http::async_read_some(
         target, buffer, response,
         asio::redirect_error(asio::use_awaitable, error));
--- a/src/kingcupshed/http/internal/body_relay.h
+++ b/src/kingcupshed/http/internal/body_relay.h
@@ -18,6 +18,14 @@
   kCallerFailed,
 };
 
+/// Time limits on the forwarding of a body.
+struct RelayLimits {
+  /// Timeout for the next bytes from the target.
+  Duration idle_timeout;
+  /// When the body must be complete.
+  TimePoint end = TimePoint::max();
+};
+
 /// Forwards a long response body to the caller chunk by chunk, with
 /// backpressure.
 class BodyRelay {
@@ -30,11 +38,10 @@
   [[nodiscard]] asio::awaitable<bool> SendHead(const ResponseHead& head);
 
   /// Forwards the rest of a response body.
-  /// @param idle_timeout Timeout for the next bytes from the target.
   [[nodiscard]] asio::awaitable<RelayResult> Forward(beast::tcp_stream& target,
                                                      beast::flat_buffer& buffer,
                                                      ResponseParser& response,
-                                                     Duration idle_timeout);
+                                                     RelayLimits limits);
 
   /// Forwards bytes that were read before.
   /// @return False when the connection to the caller failed.
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -449,9 +449,14 @@
     started = co_await relay.ForwardBuffered(attempt.body());
   }
   if (started) {
-    result = co_await relay.Forward(
-        attempt.lease()->stream, attempt.lease()->buffer, response,
-        resumable ? kResumableBodyIdleTimeout : kBodyIdleTimeout);
+    RelayLimits limits{resumable ? kResumableBodyIdleTimeout
+                                 : kBodyIdleTimeout};
+    if (IsRouted() && !length) {
+      // Nothing else ends a body whose length is not known.
+      limits.end = outgoing_.deadline;
+    }
+    result = co_await relay.Forward(attempt.lease()->stream,
+                                    attempt.lease()->buffer, response, limits);
   }
   streaming_source_ = nullptr;
   attempt.AddForwardedBytes(relay.forwarded_bytes());
@@ -522,7 +527,7 @@
       streaming_source_ = &attempt->lease()->stream;
       result = co_await relay.Forward(attempt->lease()->stream,
                                       attempt->lease()->buffer, response,
-                                      kResumableBodyIdleTimeout);
+                                      {kResumableBodyIdleTimeout});
       streaming_source_ = nullptr;
     }
     attempt->AddForwardedBytes(relay.forwarded_bytes() - from);
