Start a response that replaces a truncated one with an empty buffer

What callers would get (product's own interface; a route of the platform names its instance and doesn't resend this way): the first part of a truncated response, then as much of the next one as the length allows, with 200.

Cause: when the response on a reused connection broke off, the attempt sent the request again on a new one, and the body of the second response was appended to what had been read of the first.

Evidence: the wrong bodies had the right length and began with half of themselves.

--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -377,6 +377,8 @@
     co_return true;
   }
   std::array<char, kChunkBytes> chunk;
+  // An earlier exchange may have left the start of its body.
+  body_.clear();
   lease_->stream.expires_after(kBufferedBodyTimeout);
   while (!response_->is_done() &&
          body_.size() < request_.max_buffered_response_bytes) {
--- a/test/kingcupshed/http/server.cc
+++ b/test/kingcupshed/http/server.cc
@@ -89,6 +89,27 @@
   });
 }
 
+// The request was sent again on a new connection, and the caller got the start
+// of the first response before the second one.
+BOOST_AUTO_TEST_CASE(TruncatedResponseLeavesNothingInItsReplacement) {
+  support::ServerRig rig;
+  LoadCall call;
+  call.method = "POST";
+  call.caller = "caller";
+  call.path = "/lookup/case";
+  call.body = "payload";
+  call.timeout = std::chrono::seconds(10);
+  // One after the other, so that each target has an idle connection.
+  for (int warmup = 0; warmup < 10; ++warmup) {
+    BOOST_REQUIRE(rig.SendAll({call}).front().outcome ==
+                  CallOutcome::kCompleted);
+  }
+  for (standin::Target& target : rig.targets()) {
+    target.behaviour.faults["truncate"] = 1;
+  }
+  BOOST_TEST((rig.SendAll({call}).front().outcome == CallOutcome::kCompleted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Promise3)
