Close an idle connection on which a target sends

What happened in the test: a target that goes on sending after a complete response filled the connection's kernel buffer, which on the users' platform counts as the VM's memory, and held the connection until the next call to that target. Calls were not affected: a connection with unread bytes isn't reused.

Cause: nothing looked at idle connections until one was needed.

Each connection in the pool now waits for bytes or the end of the stream, and is closed on either. The handler of an earlier wait is told by its number.

--- a/src/kingcupshed/http/internal/target_pool.cc
+++ b/src/kingcupshed/http/internal/target_pool.cc
@@ -60,6 +60,7 @@
   }
   connection_->busy = false;
   connection_->reused = true;
+  pool_->WatchIdle(*connection_);
   connection_ = nullptr;
 }
 
@@ -112,6 +113,9 @@
   if (requirement != ConnectionRequirement::kNew) {
     if (TargetConnection* idle = FindIdle(entry, requirement, now)) {
       idle->busy = true;
+      ++*idle->idle_watch;
+      boost::system::error_code ignored;
+      idle->stream.socket().cancel(ignored);
       co_return Lease(*this, *idle);
     }
   }
@@ -155,6 +159,20 @@
   co_return lease;
 }
 
+/// Closes an idle connection when the target closes it or sends more: no
+/// response is due, and unread bytes take memory.
+void TargetPool::WatchIdle(TargetConnection& connection) {
+  const std::uint64_t number = ++*connection.idle_watch;
+  connection.stream.socket().async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [this, &connection, number,
+       watch = connection.idle_watch](const boost::system::error_code& error) {
+        if (!error && *watch == number) {
+          Remove(connection);
+        }
+      });
+}
+
 void TargetPool::Remove(TargetConnection& connection) {
   std::list<TargetConnection>& list = entries_[connection.target].connections;
   const auto found = std::find_if(
--- a/src/kingcupshed/http/internal/target_pool.h
+++ b/src/kingcupshed/http/internal/target_pool.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -18,6 +19,9 @@
 struct TargetConnection {
   TargetConnection(const asio::any_io_executor& executor, TargetId target)
       : stream(executor), target(target) {}
+  TargetConnection(const TargetConnection&) = delete;
+  TargetConnection& operator=(const TargetConnection&) = delete;
+  ~TargetConnection() { ++*idle_watch; }
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer{kMaxReadBufferBytes};
@@ -32,6 +36,10 @@
   bool busy = true;
   /// True once the connection is assumed dead and must not be reused.
   bool retired = false;
+  /// Number of the current watch while the connection is idle. It changes when
+  /// the watch ends; the handler of an earlier one has nothing left to do.
+  std::shared_ptr<std::uint64_t> idle_watch =
+      std::make_shared<std::uint64_t>(0);
 };
 
 /// Which connections a call accepts, by how likely they still work.
@@ -133,6 +141,7 @@
   TargetConnection* FindIdle(Entry& entry,
                              ConnectionRequirement requirement,
                              TimePoint now);
+  void WatchIdle(TargetConnection& connection);
   void Remove(TargetConnection& connection);
 
   asio::any_io_executor executor_;
