Limit the unparsed bytes of a caller's connection

The buffer now holds a head and 64 KiB more; beyond that the body is malformed and the caller gets 400.

RoutedCallTest/RefusesEndlessChunkExtension sends 1 MiB of it: no response before, 400 now.

--- a/src/kingcupshed/http/internal/session.cc
+++ b/src/kingcupshed/http/internal/session.cc
@@ -1,5 +1,6 @@
 #include "kingcupshed/http/internal/session.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -48,7 +49,7 @@
 
   ServerState& server_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxReadBufferBytes};
   bool served_ = false;
 };
 
@@ -126,6 +127,8 @@
   const SessionLimits limits = server_.Limits();
   request.header_limit(limits.header_bytes);
   request.body_limit(limits.body_bytes);
+  buffer_.max_size(std::max(buffer_.max_size(),
+                            limits.header_bytes + kMaxReadBufferBytes));
   stream_.expires_never();
   const boost::system::error_code error = co_await ReadHead(request);
   if (error == beast::http::error::end_of_stream) {
--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -222,6 +222,22 @@
   BOOST_TEST(StatusOf(rig.Exchange(Get())) == "200");
 }
 
+// The VM used to buffer the extension for as long as it came.
+BOOST_AUTO_TEST_CASE(RefusesEndlessChunkExtension) {
+  constexpr Duration kMaxTime = std::chrono::seconds(1);
+  RoutedServerRig rig(1);
+  const TimePoint limit = std::chrono::steady_clock::now() + kMaxTime;
+  const auto exchange = rig.StartExchange(
+      "POST /write/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4;" +
+      std::string(1024UL * 1024, 'x'));
+  rig.RunUntil([&] {
+    return exchange->second || std::chrono::steady_clock::now() > limit;
+  });
+  BOOST_TEST(StatusOf(exchange->first) == "400");
+  BOOST_TEST(rig.requests().empty());
+}
+
 // Idempotent work is cancelled as soon as its caller disconnects, so that the
 // slot of the target is free for other calls.
 BOOST_AUTO_TEST_CASE(CancelsIdempotentWorkWhenCallerDisconnects) {
