Wait less for routes after a poll that a change woke

Cause: a poll that a change wakes after 0.9 s proves only that the routes were current when it was sent; with the next full wait their age passed 1.8 s, the zone counted its reader as stale, polled the second VM, and that VM then read for 3 s.

The next poll now waits so that the routes are at most 1.3 s old when it ends.

--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -27,6 +27,9 @@
 /// poll must time out, a second read succeed and the other VMs poll this one
 /// within the 2.5 s in which changes become active.
 constexpr Duration kRoutePollWait = std::chrono::seconds(1);
+/// Age of the routes up to which a poll may wait. A poll that a change woke
+/// proves only that they were current when it was sent.
+constexpr Duration kMaxRouteAgeAfterPoll = std::chrono::milliseconds(1300);
 /// Interval between two reads of the targets, and between two polls of the
 /// reader. Both together, with margin for one failed poll, stay below the time
 /// after which a leaving target must get no more work.
@@ -220,8 +223,8 @@
       continue;
     }
     const TimePoint sent_at = Now();
-    const StoreStatus status =
-        co_await routes_.Read(reader ? kRoutePollWait : Duration::zero());
+    const StoreStatus status = co_await routes_.Read(
+        reader ? RoutePollWait(sent_at) : Duration::zero());
     if (status == StoreStatus::kDone || status == StoreStatus::kExpired) {
       continue;
     }
@@ -237,6 +240,14 @@
   }
 }
 
+/// Returns how long a poll for routes may wait for a change.
+Duration StoreFollower::RoutePollWait(TimePoint now) const {
+  const auto current_at = routes_.freshness().last_current();
+  const Duration age = current_at ? now - *current_at : Duration::zero();
+  return std::clamp(kMaxRouteAgeAfterPoll - age, Duration::zero(),
+                    kRoutePollWait);
+}
+
 asio::awaitable<void> StoreFollower::FollowTargets() {
   for (;;) {
     bool updated = false;
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -91,6 +91,7 @@
 
   static const char* PollResultName(PollResult result);
   boost::asio::awaitable<void> FollowRoutes();
+  [[nodiscard]] Duration RoutePollWait(TimePoint now) const;
   boost::asio::awaitable<void> FollowTargets();
   void ReadRoutesIfPollUnreliable();
   boost::asio::awaitable<bool> ReadTargetsUnlessOverdue();
