Split the store follower: targets and VMs have files of their own

What it knows of targets, with the records handed to other VMs, moves to TargetFollower beside RouteFollower; the fleet's VMs move to VmDirectory. The follower keeps who reads, when, and whom it polls.

--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -10,9 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "kingcupshed/daemon/topic_reader.h"
-#include "kingcupshed/peer/compression.h"
-#include "kingcupshed/platform/documents.h"
 #include "peer.pb.h"
 
 namespace kingcupshed::daemon {
@@ -20,7 +17,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using platform::KeyedPage;
 using platform::StoreStatus;
 
 /// Maximum wait of a long poll for routes. When its connection goes silent, the
@@ -51,8 +47,6 @@
 /// The same for a VM that has no data yet and requests all of it, at the same
 /// time as other VMs of its zone.
 constexpr Duration kInitialPeerPollTimeout = std::chrono::milliseconds(500);
-/// Several times the size of the target records of the largest fleet.
-constexpr std::size_t kMaxTargetBytes = 16UL * 1024 * 1024;
 /// Interval at which state is checked whose changes are not signalled.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
 /// Average interval between the polls of a VM whose data is stale.
@@ -80,26 +74,14 @@
   return std::chrono::steady_clock::now();
 }
 
-using WireRecords = google::protobuf::RepeatedPtrField<peer::wire::StoreRecord>;
-
-void AddRecords(const std::vector<catalog::CachedRecord>& records,
-                WireRecords& out) {
-  for (const catalog::CachedRecord& record : records) {
-    peer::wire::StoreRecord& copy = *out.Add();
-    copy.set_offset(ToIndex(record.offset));
-    copy.set_key(record.key);
-    copy.set_removed(!record.value);
-    copy.set_value(record.value.value_or(""));
-  }
+void WritePlace(const VmEndpoint& endpoint, peer::wire::VmPlace& out) {
+  out.set_vm(endpoint.vm);
+  out.set_zone(endpoint.zone);
+  out.set_peer_address(endpoint.peer_address);
 }
 
-void ReadRecords(const WireRecords& records, KeyedPage& page) {
-  for (const peer::wire::StoreRecord& record : records) {
-    page.records.push_back({LogOffset{record.offset()}, record.key(),
-                            record.removed()
-                                ? std::nullopt
-                                : std::optional<std::string>(record.value())});
-  }
+VmEndpoint ReadPlace(const peer::wire::VmPlace& place) {
+  return {place.vm(), place.zone(), place.peer_address()};
 }
 
 /// Returns the age in milliseconds, rounded up so that data never seems newer
@@ -128,11 +110,10 @@
                              bool first_start,
                              StoreHooks hooks)
     : io_(io),
-      store_(store),
-      self_(std::move(self)),
       first_start_(first_start),
       hooks_(std::move(hooks)),
-      random_(std::hash<std::string>{}(self_.vm)),
+      vms_(store, std::move(self), [this] { OnVmsChanged(); }),
+      random_(std::hash<std::string>{}(vms_.self().vm)),
       client_(io),
       server_(
           io,
@@ -142,7 +123,7 @@
                   peer::wire::Published& response) {
              HandleRequest(request, response);
            }}),
-      routes_(store_,
+      routes_(store,
               {[this](route::RouteTable routes, const std::string& source) {
                  hooks_.on_event(
                      "routes_received",
@@ -154,12 +135,19 @@
                  hooks_.on_event("routes_not_usable",
                                  "the active routes are kept");
                }}),
-      readers_(self_.vm),
+      targets_(store,
+               {[this] { hooks_.on_targets(); },
+                [this] {
+                  hooks_.on_event(
+                      "targets_not_usable",
+                      "a malformed response of another VM is ignored");
+                }}),
+      readers_(vms_.self().vm),
       started_at_(Now()),
       target_read_ended_(io) {}
 
 bool StoreFollower::Start() {
-  if (!server_.Listen(self_.peer_address)) {
+  if (!server_.Listen(vms_.self().peer_address)) {
     return false;
   }
   asio::co_spawn(io_, FollowRoutes(), asio::detached);
@@ -206,7 +194,7 @@
   catalog::ReadConditions conditions;
   conditions.uptime = now - started_at_;
   conditions.first_start = first_start_;
-  conditions.vms_listed = vms_listed_;
+  conditions.vms_listed = vms_.listed();
   conditions.peer_responded = peer_responded_;
   conditions.data_age = current_at ? now - *current_at : conditions.uptime;
   return readers_.ShouldReadNow(conditions, now);
@@ -256,7 +244,7 @@
     }
     const bool polled = updated;
     if (!updated && !target_read_pending_ && Now() >= next_read_at_ &&
-        ShouldReadNow(Now(), targets_read_at_)) {
+        ShouldReadNow(Now(), targets_.current_at())) {
       updated = co_await ReadTargetsUnlessOverdue();
       if (target_read_pending_) {
         continue;
@@ -271,15 +259,16 @@
            kPollIntervalSpread * random_.Unit()) *
           ToSeconds(relays ? kRelayPollInterval : kTargetPollInterval));
       // A poll brings the routes too; a read of the targets doesn't.
+      const TimePoint targets_at = *targets_.current_at();
       const TimePoint current_at =
-          polled ? std::min(*targets_read_at_,
-                            routes_.freshness().last_current().value_or(
-                                *targets_read_at_))
-                 : *targets_read_at_;
+          polled ? std::min(
+                       targets_at,
+                       routes_.freshness().last_current().value_or(targets_at))
+                 : targets_at;
       co_await Sleep(catalog::NextPollDelay(Now() - current_at, interval));
     } else {
-      co_await Sleep(targets_read_at_ ? WithJitter(kStaleRetryInterval)
-                                      : kStartupInterval);
+      co_await Sleep(targets_.current_at() ? WithJitter(kStaleRetryInterval)
+                                           : kStartupInterval);
     }
   }
 }
@@ -300,7 +289,7 @@
 /// unless it is the first one, for which there is nothing to do meanwhile.
 /// @return True if the read brought an update in time.
 asio::awaitable<bool> StoreFollower::ReadTargetsUnlessOverdue() {
-  const bool first_read = !targets_next_offset_;
+  const bool first_read = !targets_.next_offset();
   target_read_pending_ = true;
   if (first_read) {
     target_read_ended_.expires_at(asio::steady_timer::time_point::max());
@@ -326,7 +315,7 @@
     hooks_.on_event(
         "store_read_overdue",
         "no response after " + InMs(kOverdueRead) + "; other VMs are polled");
-    readers_.Suspect(self_.vm, now);
+    readers_.Suspect(vms_.self().vm, now);
   }
   health_.OnFailure(now);
 }
@@ -340,82 +329,24 @@
 
 /// @return True if the targets were read.
 asio::awaitable<bool> StoreFollower::FetchTargets() {
-  const std::string topic(platform::kTargetTopic);
-  const bool complete = !targets_next_offset_;
-  const TimePoint requested_at = Now();
-  const KeyedPage page =
-      co_await ReadTopic(store_, topic, targets_next_offset_, Duration::zero(),
-                         [this, requested_at](const Page& first_listing) {
-                           ApplyTargets(first_listing, false);
-                           RecordTargetsCurrent(requested_at);
-                         });
-  if (page.status == StoreStatus::kExpired) {
-    targets_next_offset_.reset();
+  const TargetRead read = co_await targets_.Read();
+  if (read.status == StoreStatus::kExpired) {
     co_return false;
   }
-  RecordStoreRead(page.status == StoreStatus::kDone, Now() - requested_at);
-  if (page.status != StoreStatus::kDone) {
-    catalog_.OnOutage(Now());
+  RecordStoreRead(read.status == StoreStatus::kDone, read.elapsed);
+  if (read.status != StoreStatus::kDone) {
     health_.OnFailure(Now());
     if (!readers_.IsSelfSuspected(Now())) {
-      readers_.Suspect(self_.vm, Now());
+      readers_.Suspect(vms_.self().vm, Now());
     }
     co_return false;
   }
-  readers_.ClearSuspicion(self_.vm);
+  readers_.ClearSuspicion(vms_.self().vm);
   SuspectStalePeers();
-  catalog_.OnReadSucceeded(Now());
-  // A listing takes two calls; see `ReadTopic`.
-  const Duration elapsed =
-      complete ? (Now() - requested_at) / 2 : Now() - requested_at;
-  health_.OnResponse(elapsed, Now());
-  ApplyTargets(page, complete);
-  // Another VM may have sent newer records meanwhile.
-  targets_next_offset_ =
-      std::max(targets_next_offset_.value_or(LogOffset{}), page.next_offset);
-  RecordTargetsCurrent(requested_at);
+  health_.OnResponse(read.call_time, Now());
   co_return true;
 }
 
-/// Records that the known targets were read from the store at `read_at` or
-/// later.
-void StoreFollower::RecordTargetsCurrent(TimePoint read_at) {
-  targets_read_at_ = std::max(targets_read_at_.value_or(read_at), read_at);
-}
-
-void StoreFollower::ApplyTargets(const KeyedPage& page, bool complete) {
-  const TimePoint now = Now();
-  std::vector<std::string> names;
-  for (const platform::KeyedRecord& record : page.records) {
-    names.push_back(record.key);
-    if (!record.value) {
-      records_.Apply({record.offset, record.key, std::nullopt}, true, now);
-      catalog_.ApplyRemoval(record.key, record.offset, now);
-      continue;
-    }
-    auto report = platform::DecodeTarget(record.key, *record.value);
-    if (!report) {
-      continue;
-    }
-    const auto known = catalog_.targets().find(record.key);
-    const bool reports_change =
-        known == catalog_.targets().end() ||
-        catalog::ReportsChange(*report, known->second.report);
-    if (catalog_.ApplyReport(*std::move(report), record.offset, now)) {
-      records_.Apply({record.offset, record.key, record.value}, reports_change,
-                     now);
-    }
-  }
-  if (complete) {
-    catalog_.ApplyListing(names, page.next_offset, now);
-    records_.ApplyListing(names, page.next_offset, now);
-  }
-  records_.Trim(now);
-  if (catalog_.Advance(now)) {
-    hooks_.on_targets();
-  }
-}
-
 /// Polls other VMs for the data that they read, one after the other.
 /// @return True if one of them had fresh data.
 asio::awaitable<bool> StoreFollower::PollPeers() {
@@ -439,8 +370,9 @@
   }
   RecordPollRound("");
   peer_responded_ = !stale_peers_.empty();
-  if (!targets_read_at_ || Now() - *targets_read_at_ > kOutageStaleness) {
-    catalog_.OnOutage(Now());
+  if (!targets_.current_at() ||
+      Now() - *targets_.current_at() > kOutageStaleness) {
+    targets_.RecordOutage(Now());
   }
   co_return false;
 }
@@ -472,17 +404,15 @@
 asio::awaitable<StoreFollower::PollResult> StoreFollower::PollPeer(
     catalog::PeerPoll poll) {
   const std::string& vm = poll.vm;
-  const auto found = peers_.find(vm);
-  if (found == peers_.end()) {
+  const auto found = vms_.others().find(vm);
+  if (found == vms_.others().end()) {
     co_return PollResult::kNoResponse;
   }
+  const auto known_up_to = targets_.next_offset();
   peer::wire::PublishedRequest request;
-  request.mutable_sender()->set_vm(self_.vm);
-  request.mutable_sender()->set_zone(self_.zone);
-  request.mutable_sender()->set_peer_address(self_.peer_address);
-  request.set_targets_from(targets_next_offset_ ? ToIndex(*targets_next_offset_)
-                                                : 0);
-  request.set_vms_known(peers_.size());
+  WritePlace(vms_.self(), *request.mutable_sender());
+  request.set_targets_from(known_up_to ? ToIndex(*known_up_to) : 0);
+  request.set_vms_known(vms_.others().size());
   request.set_depth(poll.depth);
   request.set_routes_version(routes_.version());
   asio::steady_timer responded(io_, asio::steady_timer::time_point::max());
@@ -490,23 +420,14 @@
   const TimePoint requested_at = Now();
   client_.FetchPublished(
       found->second.peer_address, request,
-      targets_next_offset_ ? kPeerPollTimeout : kInitialPeerPollTimeout,
+      known_up_to ? kPeerPollTimeout : kInitialPeerPollTimeout,
       [&](const peer::wire::Published* published) {
         result = published == nullptr ? PollResult::kNoResponse
                                       : PollResult::kNoData;
         if (published != nullptr && published->known() &&
             ApplyPublished(vm, *published, requested_at)) {
-          const Duration age = std::chrono::milliseconds(published->age_ms());
-          // The VMs behind one whose reads fail may have no other data than
-          // what they got from it.
-          const bool newer =
-              !targets_read_at_ || requested_at - age > *targets_read_at_;
-          RecordTargetsCurrent(requested_at - age);
-          const bool fresh =
-              age <= kMaxFreshAge &&
-              (newer || !readers_.IsSelfSuspected(requested_at)) &&
-              !routes_.freshness().IsStale(requested_at);
-          result = fresh ? PollResult::kFresh : PollResult::kStale;
+          result = JudgeFreshness(
+              std::chrono::milliseconds(published->age_ms()), requested_at);
         }
         responded.cancel();
       });
@@ -518,14 +439,31 @@
         asio::redirect_error(asio::use_awaitable, error));
   }
   if (*result == PollResult::kFresh) {
-    catalog_.OnReadSucceeded(Now());
+    targets_.RecordReachable(Now());
   }
   round_results_ += " " + vm + ":" + PollResultName(*result) +
-                    ",targets=" + AgeText(targets_read_at_) +
+                    ",targets=" + AgeText(targets_.current_at()) +
                     ",routes=" + AgeText(routes_.freshness().last_current());
   co_return *result;
 }
 
+/// Judges the data that was just received from another VM.
+/// @param age Age of its targets.
+/// @param requested_at When it was polled.
+StoreFollower::PollResult StoreFollower::JudgeFreshness(
+    Duration age,
+    TimePoint requested_at) {
+  const TimePoint read_at = requested_at - age;
+  // The VMs behind one whose reads fail may have no other data than what they
+  // got from it.
+  const bool newer = !targets_.current_at() || read_at > *targets_.current_at();
+  targets_.RecordCurrent(read_at);
+  const bool fresh = age <= kMaxFreshAge &&
+                     (newer || !readers_.IsSelfSuspected(requested_at)) &&
+                     !routes_.freshness().IsStale(requested_at);
+  return fresh ? PollResult::kFresh : PollResult::kStale;
+}
+
 /// Logs when the polled VMs stop having fresh data, and when one has it again.
 /// @param fresh_source The VM that had it; empty if none had.
 void StoreFollower::RecordPollRound(const std::string& fresh_source) {
@@ -544,25 +482,8 @@
 bool StoreFollower::ApplyPublished(const std::string& vm,
                                    const peer::wire::Published& published,
                                    TimePoint requested_at) {
-  KeyedPage page;
-  page.status = StoreStatus::kDone;
-  if (published.all_targets().empty()) {
-    ReadRecords(published.targets(), page);
-  } else {
-    const auto text =
-        peer::Decompress(published.all_targets(), kMaxTargetBytes);
-    peer::wire::TargetRecords all;
-    if (!text || !all.ParseFromString(*text)) {
-      hooks_.on_event("targets_not_usable",
-                      "a malformed response of another VM is ignored");
-      return false;
-    }
-    ReadRecords(all.records(), page);
-  }
-  page.next_offset = LogOffset{published.targets_next()};
-  if (!targets_next_offset_ || page.next_offset >= *targets_next_offset_) {
-    ApplyTargets(page, !targets_next_offset_);
-    targets_next_offset_ = page.next_offset;
+  if (!targets_.ApplyFromPeer(published)) {
+    return false;
   }
   PeerRoutes routes{published.routes_version(), published.routes(), {}};
   if (published.has_routes_age_ms()) {
@@ -571,44 +492,24 @@
   }
   routes_.ApplyFromPeer(vm, routes);
   for (const peer::wire::VmPlace& place : published.vms()) {
-    UpdatePeer(place.vm(), place.zone(), place.peer_address());
+    vms_.Update(ReadPlace(place));
   }
   return true;
 }
 
-/// Returns all target records, compressed once for all VMs that request them
-/// before the next read: after a power failure, whole zones do so at the same
-/// moment.
-const std::string& StoreFollower::CompressAllTargets() {
-  if (compressed_offset_ != targets_next_offset_) {
-    peer::wire::TargetRecords all;
-    AddRecords(records_.ChangedSince(LogOffset{0}), *all.mutable_records());
-    compressed_targets_ = peer::Compress(all.SerializeAsString());
-    compressed_offset_ = targets_next_offset_;
-  }
-  return compressed_targets_;
-}
-
 /// Handles the poll of another VM: responds with the data of this VM, which
 /// keeps reading the store for the other one.
 void StoreFollower::HandleRequest(const peer::wire::PublishedRequest& request,
                                   peer::wire::Published& response) {
   const TimePoint now = Now();
   readers_.RecordRequest(request.depth(), now);
-  const auto& sender = request.sender();
-  UpdatePeer(sender.vm(), sender.zone(), sender.peer_address());
-  if (!targets_read_at_ || !targets_next_offset_) {
+  vms_.Update(ReadPlace(request.sender()));
+  if (!targets_.current_at() || !targets_.next_offset()) {
     return;
   }
   response.set_known(true);
-  response.set_age_ms(AgeInMs(*targets_read_at_, now));
-  if (request.targets_from() == 0) {
-    response.set_all_targets(CompressAllTargets());
-  } else {
-    AddRecords(records_.ChangedSince(LogOffset{request.targets_from()}),
-               *response.mutable_targets());
-  }
-  response.set_targets_next(ToIndex(*targets_next_offset_));
+  response.set_age_ms(AgeInMs(*targets_.current_at(), now));
+  targets_.AddTo(response, LogOffset{request.targets_from()});
   response.set_routes_version(routes_.version());
   if (routes_.version() > request.routes_version()) {
     response.set_routes(routes_.compressed());
@@ -616,12 +517,9 @@
   if (const auto current_at = routes_.freshness().last_current()) {
     response.set_routes_age_ms(AgeInMs(*current_at, now));
   }
-  if (request.vms_known() < peers_.size()) {
-    for (const auto& [name, endpoint] : peers_) {
-      peer::wire::VmPlace& out = *response.add_vms();
-      out.set_vm(endpoint.vm);
-      out.set_zone(endpoint.zone);
-      out.set_peer_address(endpoint.peer_address);
+  if (request.vms_known() < vms_.others().size()) {
+    for (const auto& [name, endpoint] : vms_.others()) {
+      WritePlace(endpoint, *response.add_vms());
     }
   }
 }
@@ -630,95 +528,54 @@
 asio::awaitable<void> StoreFollower::AdvanceCatalogPeriodically() {
   for (;;) {
     co_await Sleep(kCheckInterval);
-    if (catalog_.Advance(Now())) {
-      hooks_.on_targets();
-    }
+    targets_.Advance(Now());
   }
 }
 
 /// Registers this VM in the store, unless the store already has the same entry
 /// from an earlier incarnation.
 asio::awaitable<void> StoreFollower::RegisterSelf() {
-  const std::string entry = platform::EncodeVm(self_.zone, self_.peer_address);
-  while (!first_start_ && !vms_listed_) {
+  while (!first_start_ && !vms_.listed()) {
     co_await Sleep(kCheckInterval);
   }
-  if (already_registered_) {
-    co_return;
-  }
-  for (;;) {
-    const StoreStatus status =
-        co_await store_.Put(std::string(platform::kVmTopic), self_.vm, entry);
-    if (status == StoreStatus::kDone) {
-      co_return;
+  while (!vms_.registered()) {
+    const StoreStatus status = co_await vms_.RegisterSelf();
+    if (status != StoreStatus::kDone) {
+      co_await Sleep(NextBackoff());
     }
-    co_await Sleep(NextBackoff());
   }
 }
 
 asio::awaitable<void> StoreFollower::PollVmList() {
-  const std::string topic(platform::kVmTopic);
   Duration delay = first_start_ ? kInitialVmListDelay : Duration::zero();
   for (;;) {
     co_await Sleep(
         FromSeconds((0.9 + 0.2 * random_.Unit()) * ToSeconds(delay)));
     // VMs that are not readers receive the list from the VM that they poll.
-    if (vms_listed_ && !readers_.IsReader(Now())) {
+    const bool again = vms_.listed();
+    if (again && !readers_.IsReader(Now())) {
       delay = kStartupVmListInterval;
       continue;
     }
-    const KeyedPage page = co_await store_.ReadNewest(topic);
-    if (page.status != StoreStatus::kDone) {
+    const StoreStatus status = co_await vms_.ReadList();
+    if (status != StoreStatus::kDone) {
       delay = NextBackoff();
       continue;
     }
-    ApplyVmList(page);
-    delay = vms_listed_ ? kVmListInterval : kStartupVmListInterval;
-    vms_listed_ = true;
+    delay = again ? kVmListInterval : kStartupVmListInterval;
   }
 }
 
-void StoreFollower::ApplyVmList(const KeyedPage& page) {
-  for (const platform::KeyedRecord& record : page.records) {
-    const auto entry =
-        record.value ? platform::DecodeVm(*record.value) : std::nullopt;
-    already_registered_ =
-        already_registered_ ||
-        (entry && record.key == self_.vm && entry->zone == self_.zone &&
-         entry->peer_address == self_.peer_address);
-    if (entry) {
-      UpdatePeer(record.key, entry->zone, entry->peer_address);
-    }
-  }
-}
-
-void StoreFollower::UpdatePeer(const std::string& vm,
-                               const std::string& zone,
-                               const std::string& peer_address) {
-  if (vm == self_.vm || vm.empty()) {
-    return;
-  }
-  VmEndpoint& endpoint = peers_[vm];
-  if (endpoint.peer_address == peer_address && endpoint.zone == zone) {
-    return;
-  }
-  endpoint = {vm, zone, peer_address};
-  UpdateReaders();
-  hooks_.on_vms(peers_.size() + 1);
-}
-
-void StoreFollower::UpdateReaders() {
-  std::map<std::string, std::vector<std::string>> zones;
-  for (const auto& [name, endpoint] : peers_) {
-    zones[endpoint.zone].push_back(name);
-  }
-  readers_.SetVms(zones[self_.zone]);
-  zones.erase(self_.zone);
+void StoreFollower::OnVmsChanged() {
+  auto zones = vms_.NamesByZone();
+  readers_.SetVms(zones[vms_.self().zone]);
+  zones.erase(vms_.self().zone);
   std::vector<std::vector<std::string>> other_zones;
   for (auto& [zone, vms] : zones) {
     other_zones.push_back(std::move(vms));
   }
   readers_.SetOtherZones(std::move(other_zones));
+  hooks_.on_vms(vms_.size());
 }
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -11,11 +11,12 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "kingcupshed/catalog/reader_selector.h"
-#include "kingcupshed/catalog/record_cache.h"
 #include "kingcupshed/catalog/store_health.h"
 #include "kingcupshed/catalog/target_catalog.h"
 #include "kingcupshed/core/random.h"
 #include "kingcupshed/daemon/route_follower.h"
+#include "kingcupshed/daemon/target_follower.h"
+#include "kingcupshed/daemon/vm_directory.h"
 #include "kingcupshed/peer/client.h"
 #include "kingcupshed/peer/server.h"
 #include "kingcupshed/platform/store.h"
@@ -36,14 +37,6 @@
   std::function<void(std::string kind, std::string detail)> on_event;
 };
 
-/// Name and location of a VM.
-struct VmEndpoint {
-  std::string vm;
-  std::string zone;
-  /// Address for other VMs.
-  std::string peer_address;
-};
-
 /// Follows the data in the platform's store: routes, targets and VMs.
 ///
 /// In each zone one VM, the reader, reads the store and the others poll the
@@ -67,17 +60,15 @@
   void Stop();
 
   [[nodiscard]] const catalog::TargetCatalog& targets() const noexcept {
-    return catalog_;
+    return targets_.catalog();
   }
 
   /// Returns true once the targets have been read, by this VM or another.
   [[nodiscard]] bool has_targets() const noexcept {
-    return targets_read_at_.has_value();
+    return targets_.current_at().has_value();
   }
 
  private:
-  using Page = platform::KeyedPage;
-
   /// Outcome of polling another VM.
   enum class PollResult : std::uint8_t {
     kFresh,
@@ -100,6 +91,7 @@
   void OnTargetReadOverdue();
   boost::asio::awaitable<bool> PollPeers();
   boost::asio::awaitable<PollResult> PollPeer(catalog::PeerPoll poll);
+  [[nodiscard]] PollResult JudgeFreshness(Duration age, TimePoint requested_at);
   void SuspectStalePeers();
   boost::asio::awaitable<void> RegisterSelf();
   boost::asio::awaitable<void> PollVmList();
@@ -107,48 +99,30 @@
   boost::asio::awaitable<void> Sleep(Duration duration);
   [[nodiscard]] Duration WithJitter(Duration mean);
   [[nodiscard]] Duration NextBackoff();
-  const std::string& CompressAllTargets();
   void HandleRequest(const peer::wire::PublishedRequest& request,
                      peer::wire::Published& response);
   [[nodiscard]] bool ApplyPublished(const std::string& vm,
                                     const peer::wire::Published& published,
                                     TimePoint requested_at);
-  void ApplyTargets(const Page& page, bool complete);
-  void RecordTargetsCurrent(TimePoint read_at);
-  void UpdatePeer(const std::string& vm,
-                  const std::string& zone,
-                  const std::string& peer_address);
-  void ApplyVmList(const Page& page);
-  void UpdateReaders();
+  void OnVmsChanged();
   void RecordStoreRead(bool succeeded, Duration elapsed);
   void RecordPollRound(const std::string& fresh_source);
   [[nodiscard]] bool ShouldReadNow(TimePoint now,
                                    std::optional<TimePoint> current_at) const;
 
   boost::asio::io_context& io_;
-  const platform::Store& store_;
-  VmEndpoint self_;
   bool first_start_;
   StoreHooks hooks_;
+  VmDirectory vms_;
   Random random_;
   peer::Client client_;
   peer::Server server_;
 
   RouteFollower routes_;
-  catalog::TargetCatalog catalog_;
-  catalog::RecordCache records_;
+  TargetFollower targets_;
   catalog::ReaderSelector readers_;
   catalog::StoreHealth health_;
   TimePoint started_at_;
-  /// Other VMs by name.
-  std::map<std::string, VmEndpoint> peers_;
-  /// When the known targets were read from the store, by this VM or the one
-  /// that it polled.
-  std::optional<TimePoint> targets_read_at_;
-  std::optional<LogOffset> targets_next_offset_;
-  /// All target records, compressed, and the offset that they are valid for.
-  std::string compressed_targets_;
-  std::optional<LogOffset> compressed_offset_;
   /// True while a read of targets is in progress.
   bool target_read_pending_ = false;
   /// True if the last read of targets brought an update.
@@ -160,10 +134,6 @@
   std::uint32_t store_failures_ = 0;
   /// Earliest time of the next read of targets after a failure.
   TimePoint next_read_at_{};
-  /// True once this VM has read the list of VMs.
-  bool vms_listed_ = false;
-  /// True if the store has this VM's entry from an earlier incarnation.
-  bool already_registered_ = false;
   /// True if a VM responded in the last round of polls.
   bool peer_responded_ = false;
   /// VMs that responded without fresh data in that round.
--- /dev/null
+++ b/src/kingcupshed/daemon/target_follower.cc
@@ -0,0 +1,183 @@
+#include "kingcupshed/daemon/target_follower.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "kingcupshed/daemon/topic_reader.h"
+#include "kingcupshed/peer/compression.h"
+#include "kingcupshed/platform/documents.h"
+#include "peer.pb.h"
+
+namespace kingcupshed::daemon {
+
+namespace {
+
+namespace asio = boost::asio;
+using platform::KeyedPage;
+using platform::StoreStatus;
+
+/// Several times the size of the target records of the largest fleet.
+constexpr std::size_t kMaxTargetBytes = 16UL * 1024 * 1024;
+/// Calls of a read of all targets; see `ReadTopic`.
+constexpr int kListingCalls = 2;
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+using WireRecords = google::protobuf::RepeatedPtrField<peer::wire::StoreRecord>;
+
+void AddRecords(const std::vector<catalog::CachedRecord>& records,
+                WireRecords& out) {
+  for (const catalog::CachedRecord& record : records) {
+    peer::wire::StoreRecord& copy = *out.Add();
+    copy.set_offset(ToIndex(record.offset));
+    copy.set_key(record.key);
+    copy.set_removed(!record.value);
+    copy.set_value(record.value.value_or(""));
+  }
+}
+
+void ReadRecords(const WireRecords& records, KeyedPage& page) {
+  for (const peer::wire::StoreRecord& record : records) {
+    page.records.push_back({LogOffset{record.offset()}, record.key(),
+                            record.removed()
+                                ? std::nullopt
+                                : std::optional<std::string>(record.value())});
+  }
+}
+
+/// Reads the records of a response.
+/// @return Nothing if they can't be decoded.
+std::optional<KeyedPage> ToPage(const peer::wire::Published& published) {
+  KeyedPage page;
+  page.status = StoreStatus::kDone;
+  page.next_offset = LogOffset{published.targets_next()};
+  if (published.all_targets().empty()) {
+    ReadRecords(published.targets(), page);
+    return page;
+  }
+  const auto text = peer::Decompress(published.all_targets(), kMaxTargetBytes);
+  peer::wire::TargetRecords all;
+  if (!text || !all.ParseFromString(*text)) {
+    return std::nullopt;
+  }
+  ReadRecords(all.records(), page);
+  return page;
+}
+
+}  // namespace
+
+TargetFollower::TargetFollower(const platform::Store& store, Hooks hooks)
+    : store_(store), hooks_(std::move(hooks)) {}
+
+asio::awaitable<TargetRead> TargetFollower::Read() {
+  const bool complete = !next_offset_;
+  const TimePoint sent_at = Now();
+  std::string topic(platform::kTargetTopic);
+  const KeyedPage page = co_await ReadTopic(
+      store_, std::move(topic), next_offset_, Duration::zero(),
+      [this, sent_at](const KeyedPage& first_listing) {
+        Apply(first_listing, false);
+        RecordCurrent(sent_at);
+      });
+  const Duration elapsed = Now() - sent_at;
+  TargetRead read{page.status, elapsed,
+                  complete ? elapsed / kListingCalls : elapsed};
+  if (page.status == StoreStatus::kExpired) {
+    next_offset_.reset();
+    co_return read;
+  }
+  if (page.status != StoreStatus::kDone) {
+    RecordOutage(Now());
+    co_return read;
+  }
+  RecordReachable(Now());
+  Apply(page, complete);
+  // Another VM may have sent newer records meanwhile.
+  next_offset_ = std::max(next_offset_.value_or(LogOffset{}), page.next_offset);
+  RecordCurrent(sent_at);
+  co_return read;
+}
+
+bool TargetFollower::ApplyFromPeer(const peer::wire::Published& published) {
+  const auto page = ToPage(published);
+  if (!page) {
+    hooks_.on_invalid_targets();
+    return false;
+  }
+  if (!next_offset_ || page->next_offset >= *next_offset_) {
+    Apply(*page, !next_offset_);
+    next_offset_ = page->next_offset;
+  }
+  return true;
+}
+
+void TargetFollower::RecordCurrent(TimePoint read_at) noexcept {
+  current_at_ = std::max(current_at_.value_or(read_at), read_at);
+}
+
+void TargetFollower::Advance(TimePoint now) {
+  if (catalog_.Advance(now)) {
+    hooks_.on_targets();
+  }
+}
+
+void TargetFollower::AddTo(peer::wire::Published& response,
+                           LogOffset known_up_to) {
+  if (known_up_to == LogOffset{0}) {
+    response.set_all_targets(CompressAll());
+  } else {
+    AddRecords(records_.ChangedSince(known_up_to), *response.mutable_targets());
+  }
+  response.set_targets_next(ToIndex(next_offset_.value_or(LogOffset{0})));
+}
+
+/// @param complete True if the page has all targets, so that those it lacks are
+///   gone.
+void TargetFollower::Apply(const KeyedPage& page, bool complete) {
+  const TimePoint now = Now();
+  std::vector<std::string> names;
+  for (const platform::KeyedRecord& record : page.records) {
+    names.push_back(record.key);
+    if (!record.value) {
+      records_.Apply({record.offset, record.key, std::nullopt}, true, now);
+      catalog_.ApplyRemoval(record.key, record.offset, now);
+      continue;
+    }
+    auto report = platform::DecodeTarget(record.key, *record.value);
+    if (!report) {
+      continue;
+    }
+    const auto known = catalog_.targets().find(record.key);
+    const bool reports_change =
+        known == catalog_.targets().end() ||
+        catalog::ReportsChange(*report, known->second.report);
+    if (catalog_.ApplyReport(*std::move(report), record.offset, now)) {
+      records_.Apply({record.offset, record.key, record.value}, reports_change,
+                     now);
+    }
+  }
+  if (complete) {
+    catalog_.ApplyListing(names, page.next_offset, now);
+    records_.ApplyListing(names, page.next_offset, now);
+  }
+  records_.Trim(now);
+  Advance(now);
+}
+
+/// Returns all target records, compressed once for all VMs that request them
+/// before the next read: after a power failure, whole zones do so at the same
+/// moment.
+const std::string& TargetFollower::CompressAll() {
+  if (compressed_offset_ != next_offset_) {
+    peer::wire::TargetRecords all;
+    AddRecords(records_.ChangedSince(LogOffset{0}), *all.mutable_records());
+    compressed_ = peer::Compress(all.SerializeAsString());
+    compressed_offset_ = next_offset_;
+  }
+  return compressed_;
+}
+
+}  // namespace kingcupshed::daemon
--- /dev/null
+++ b/src/kingcupshed/daemon/vm_directory.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "kingcupshed/platform/store.h"
+
+namespace kingcupshed::daemon {
+
+/// Name and location of a VM.
+struct VmEndpoint {
+  std::string vm;
+  std::string zone;
+  /// Address for other VMs.
+  std::string peer_address;
+};
+
+/// Knows the VMs of the fleet: from the store, where each registers itself, and
+/// from other VMs.
+class VmDirectory {
+ public:
+  /// @param on_change Called when a VM became known or has another location.
+  VmDirectory(const platform::Store& store,
+              VmEndpoint self,
+              std::function<void()> on_change);
+
+  /// Registers this VM in the store.
+  [[nodiscard]] boost::asio::awaitable<platform::StoreStatus> RegisterSelf();
+
+  /// Reads all VMs from the store.
+  [[nodiscard]] boost::asio::awaitable<platform::StoreStatus> ReadList();
+
+  /// Adds another VM, or changes its location. Does nothing for this VM.
+  void Update(const VmEndpoint& endpoint);
+
+  [[nodiscard]] const VmEndpoint& self() const noexcept { return self_; }
+  /// Returns the other VMs by name.
+  [[nodiscard]] const std::map<std::string, VmEndpoint>& others()
+      const noexcept {
+    return others_;
+  }
+  /// Returns the names of the other VMs by zone.
+  [[nodiscard]] std::map<std::string, std::vector<std::string>> NamesByZone()
+      const;
+  /// Returns the number of known VMs, including this one.
+  [[nodiscard]] std::size_t size() const noexcept { return others_.size() + 1; }
+  /// Returns true once the list was read from the store.
+  [[nodiscard]] bool listed() const noexcept { return listed_; }
+  /// Returns true if the store has this VM's entry, from this incarnation or an
+  /// earlier one.
+  [[nodiscard]] bool registered() const noexcept { return registered_; }
+
+ private:
+  const platform::Store& store_;
+  VmEndpoint self_;
+  std::function<void()> on_change_;
+  std::map<std::string, VmEndpoint> others_;
+  bool listed_ = false;
+  bool registered_ = false;
+};
+
+}  // namespace kingcupshed::daemon
