--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -571,6 +571,7 @@
   readers_.SetVms(zones[vms_.self().zone]);
   zones.erase(vms_.self().zone);
   std::vector<std::vector<std::string>> other_zones;
+  other_zones.reserve(zones.size());
   for (auto& [zone, vms] : zones) {
     other_zones.push_back(std::move(vms));
   }
--- a/src/kingcupshed/http/internal/session.cc
+++ b/src/kingcupshed/http/internal/session.cc
@@ -127,8 +127,8 @@
   const SessionLimits limits = server_.Limits();
   request.header_limit(limits.header_bytes);
   request.body_limit(limits.body_bytes);
-  buffer_.max_size(std::max(buffer_.max_size(),
-                            limits.header_bytes + kMaxReadBufferBytes));
+  buffer_.max_size(
+      std::max(buffer_.max_size(), limits.header_bytes + kMaxReadBufferBytes));
   stream_.expires_never();
   const boost::system::error_code error = co_await ReadHead(request);
   if (error == beast::http::error::end_of_stream) {
--- a/test/kingcupshed/catalog/reader_selector.cc
+++ b/test/kingcupshed/catalog/reader_selector.cc
@@ -215,6 +215,7 @@
 
 std::vector<std::string> NamesOf(const std::vector<PeerPoll>& polls) {
   std::vector<std::string> names;
+  names.reserve(polls.size());
   for (const PeerPoll& poll : polls) {
     names.push_back(poll.vm);
   }
--- a/test/kingcupshed/http/endless_response.cc
+++ b/test/kingcupshed/http/endless_response.cc
@@ -76,7 +76,7 @@
   const auto exchange = rig.StartExchange(request);
   rig.RunUntil([&] { return exchange->second || Now() > limit; });
   BOOST_TEST(exchange->second);
-  const std::string received = exchange->first;
+  std::string received = exchange->first;
   CheckTargetConnectionCloses(rig);
   if (IsOpenEnded(response)) {
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
--- a/test/kingcupshed/system/endless_responses.cc
+++ b/test/kingcupshed/system/endless_responses.cc
@@ -65,6 +65,7 @@
                                                    {"count", kCalls}}}});
       }
       std::vector<std::future<FetchResult>> calls;
+      calls.reserve(kCalls);
       for (int call = 0; call < kCalls; ++call) {
         calls.push_back(std::async(
             std::launch::async, [&] { return Call(deployment, "/files/x"); }));
