--- a/src/kingcupshed/http/fetch.cc
+++ b/src/kingcupshed/http/fetch.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/http.hpp>
 
 #include "kingcupshed/http/address.h"
+#include "kingcupshed/http/internal/message.h"
 
 namespace kingcupshed::http {
 
@@ -24,8 +25,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-constexpr std::uint64_t kMaxBodyBytes = 64ULL * 1024 * 1024;
-
 beast::http::request<beast::http::string_body> ToMessage(
     const FetchRequest& request) {
   beast::http::request<beast::http::string_body> message;
@@ -108,9 +107,9 @@
   if (error) {
     co_return result;
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxReadBufferBytes);
   beast::http::response_parser<beast::http::string_body> parser;
-  parser.body_limit(kMaxBodyBytes);
+  parser.body_limit(request.max_body_bytes);
   co_await beast::http::async_read(stream, buffer, parser, token);
   if (error) {
     co_return result;
--- a/src/kingcupshed/http/probe.cc
+++ b/src/kingcupshed/http/probe.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+/// A larger body is not a load report.
+constexpr std::size_t kMaxLoadBytes = 64UL * 1024;
 constexpr unsigned kOk = 200;
 
 }  // namespace
@@ -20,6 +22,7 @@
   request.address = std::move(address);
   request.path = "/_load";
   request.timeout = kProbeTimeout;
+  request.max_body_bytes = kMaxLoadBytes;
   request.source = std::move(source);
   const FetchResult response = co_await Fetch(std::move(request));
   if (response.status != FetchStatus::kCompleted || response.code != kOk) {
--- a/standin/target.h
+++ b/standin/target.h
@@ -67,6 +67,9 @@
   Duration load_lag{};
   /// Delay of a response with the fault `late`.
   Duration late_delay = std::chrono::seconds(1);
+  /// Fault of the responses to load requests; empty for none, or a kind of
+  /// endless response.
+  std::string load_fault;
   /// Number of next calls that get a fault, by the fault's name.
   std::map<std::string, int> faults;
 };
--- a/standin/target_connection.cc
+++ b/standin/target_connection.cc
@@ -303,6 +303,11 @@
           target_.spec.probe_time)
           .count();
   const Behaviour& behaviour = target_.behaviour;
+  if (const EndlessResponse* endless =
+          FindEndlessResponse(behaviour.load_fault)) {
+    co_await WriteEndlessly(head, *endless);
+    co_return false;
+  }
   const LoadReport load =
       behaviour.false_load
           ? *behaviour.false_load
--- a/standin/target_control.cc
+++ b/standin/target_control.cc
@@ -84,6 +84,10 @@
   target.spec.service_time = ToDuration(value);
 }
 
+void SetLoadFault(Target& target, const json::value& value) {
+  target.behaviour.load_fault = value.as_string();
+}
+
 void SetFault(Target& target, const json::value& value) {
   target.behaviour.faults[std::string(value.at("kind").as_string())] =
       value.at("count").to_number<int>();
@@ -99,6 +103,7 @@
     {"load_lag_ms", &SetLoadLag},
     {"late_ms", &SetLateDelay},
     {"service_ms", &SetServiceTime},
+    {"load_fault", &SetLoadFault},
     {"fault", &SetFault},
 };
 
--- a/test/kingcupshed/http/probe.cc
+++ b/test/kingcupshed/http/probe.cc
@@ -1,10 +1,12 @@
 #include "kingcupshed/http/probe.h"
 
+#include <chrono>
 #include <optional>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "standin/endless_response.h"
 #include "support/server_rig.h"
 
 namespace kingcupshed::http {
@@ -39,6 +41,25 @@
   BOOST_TEST(target.counters.probes == 1U);
 }
 
+// The client used to buffer up to 64 MiB of a body, and chunk heads and
+// trailers for as long as they came.
+BOOST_AUTO_TEST_CASE(EndlessResponseReportsNothing) {
+  // A sixteenth of the 64 MiB that a VM may use while it forwards long bodies.
+  constexpr std::size_t kMaxBytesSent = 4UL * 1024 * 1024;
+  constexpr Duration kMaxTime = std::chrono::milliseconds(1500);
+  for (const auto& kind : standin::EndlessResponses()) {
+    BOOST_TEST_CONTEXT(kind.fault) {
+      support::ServerRig rig;
+      standin::Target& target = rig.targets().front();
+      target.behaviour.load_fault = kind.fault;
+      const TimePoint start = std::chrono::steady_clock::now();
+      BOOST_TEST(!FetchLoad(rig, target.spec.address).has_value());
+      BOOST_TEST((std::chrono::steady_clock::now() - start <= kMaxTime));
+      BOOST_TEST(target.counters.bytes_out <= kMaxBytesSent);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(UnreachableTargetReportsNothing) {
   support::ServerRig rig;
   BOOST_TEST(!FetchLoad(rig, "127.0.0.1:1").has_value());
