--- a/src/kingcupshed/http/fetch.cc
+++ b/src/kingcupshed/http/fetch.cc
@@ -109,7 +109,7 @@
   }
   beast::flat_buffer buffer(kMaxReadBufferBytes);
   beast::http::response_parser<beast::http::string_body> parser;
-  parser.body_limit(request.max_body_bytes);
+  parser.body_limit(request.max_response_body);
   co_await beast::http::async_read(stream, buffer, parser, token);
   if (error) {
     co_return result;
--- a/src/kingcupshed/http/fetch.h
+++ b/src/kingcupshed/http/fetch.h
@@ -24,8 +24,9 @@
   /// Timeout for connecting, within `timeout`. A lost SYN packet is
   /// retransmitted only after a second or more.
   Duration connect_timeout = std::chrono::seconds(2);
-  /// A larger body counts as no response.
-  std::size_t max_body_bytes = 64UL * 1024 * 1024;
+  /// Maximum size of the response body in bytes; a larger one counts as no
+  /// response.
+  std::size_t max_response_body = 64UL * 1024 * 1024;
   /// Local IP address to bind to; empty for the system's choice.
   std::string source;
   /// Enables TCP keep-alive probes, so that a dead connection is detected
--- a/src/kingcupshed/http/probe.cc
+++ b/src/kingcupshed/http/probe.cc
@@ -22,7 +22,7 @@
   request.address = std::move(address);
   request.path = "/_load";
   request.timeout = kProbeTimeout;
-  request.max_body_bytes = kMaxLoadBytes;
+  request.max_response_body = kMaxLoadBytes;
   request.source = std::move(source);
   const FetchResult response = co_await Fetch(std::move(request));
   if (response.status != FetchStatus::kCompleted || response.code != kOk) {
