--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -252,20 +252,7 @@
     }
     ReadRoutesIfPollUnreliable();
     if (updated) {
-      const bool relays =
-          readers_.IsReader(Now()) && readers_.IsSelfSuspected(Now());
-      const Duration interval = FromSeconds(
-          (1.0 - kPollIntervalSpread / 2 +
-           kPollIntervalSpread * random_.Unit()) *
-          ToSeconds(relays ? kRelayPollInterval : kTargetPollInterval));
-      // A poll brings the routes too; a read of the targets doesn't.
-      const TimePoint targets_at = *targets_.current_at();
-      const TimePoint current_at =
-          polled ? std::min(
-                       targets_at,
-                       routes_.freshness().last_current().value_or(targets_at))
-                 : targets_at;
-      co_await Sleep(catalog::NextPollDelay(Now() - current_at, interval));
+      co_await Sleep(NextUpdateDelay(polled));
     } else {
       co_await Sleep(targets_.current_at() ? WithJitter(kStaleRetryInterval)
                                            : kStartupInterval);
@@ -273,6 +260,22 @@
   }
 }
 
+/// Returns the delay between an update of the targets and the next one.
+/// @param polled True if the update came from another VM, with its routes.
+Duration StoreFollower::NextUpdateDelay(bool polled) {
+  const TimePoint now = Now();
+  const bool relays = readers_.IsReader(now) && readers_.IsSelfSuspected(now);
+  const Duration interval = FromSeconds(
+      (1.0 - kPollIntervalSpread / 2 + kPollIntervalSpread * random_.Unit()) *
+      ToSeconds(relays ? kRelayPollInterval : kTargetPollInterval));
+  TimePoint current_at = *targets_.current_at();
+  if (polled) {
+    current_at = std::min(
+        current_at, routes_.freshness().last_current().value_or(current_at));
+  }
+  return catalog::NextPollDelay(now - current_at, interval);
+}
+
 /// Reads the routes in parallel to a long poll that is unreliable: one that was
 /// sent before the store's last disturbance, or that has gone without a
 /// response for too long.
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -84,6 +84,7 @@
   boost::asio::awaitable<void> FollowRoutes();
   [[nodiscard]] Duration RoutePollWait(TimePoint now) const;
   boost::asio::awaitable<void> FollowTargets();
+  [[nodiscard]] Duration NextUpdateDelay(bool polled);
   void ReadRoutesIfPollUnreliable();
   boost::asio::awaitable<bool> ReadTargetsUnlessOverdue();
   boost::asio::awaitable<void> ReadTargets();
