--- a/src/kingcupshed/catalog/target_catalog.cc
+++ b/src/kingcupshed/catalog/target_catalog.cc
@@ -60,6 +60,9 @@
   changed_ |= found == targets_.end() || was_leaving != draining ||
               !same_incarnation || known.report.address != report.address ||
               known.report.service != report.service;
+  if (draining && !was_leaving) {
+    departures_.push_back({report.name, DepartureSign::kReported});
+  }
   known.report = std::move(report);
   known.report.draining = draining;
   known.received_at = now;
@@ -119,6 +122,7 @@
     const auto target = targets_.find(current->first);
     if (target != targets_.end() && !target->second.leaving) {
       target->second.leaving = true;
+      departures_.push_back({current->first, DepartureSign::kRemoved});
       changed_ = true;
     }
     if (*removed_at + kForgetAfter <= now) {
@@ -130,4 +134,8 @@
   return std::exchange(changed_, false);
 }
 
+std::vector<Departure> TargetCatalog::TakeDepartures() noexcept {
+  return std::exchange(departures_, {});
+}
+
 }  // namespace kingcupshed::catalog
--- a/src/kingcupshed/catalog/target_catalog.h
+++ b/src/kingcupshed/catalog/target_catalog.h
@@ -46,6 +46,20 @@
   bool leaving = false;
 };
 
+/// How it became known that a target leaves.
+enum class DepartureSign : std::uint8_t {
+  /// Its heartbeat said so.
+  kReported,
+  /// Its entry was removed.
+  kRemoved,
+};
+
+/// A target that gets no new work from now on.
+struct Departure {
+  std::string name;
+  DepartureSign sign{};
+};
+
 /// Last known state of all targets, from the records of the store.
 ///
 /// Heartbeats are ordered by incarnation and sequence, so late records change
@@ -80,6 +94,9 @@
   /// @return True when anything changed since the last call.
   [[nodiscard]] bool Advance(TimePoint now);
 
+  /// Returns the targets that began to leave since the last call, for logs.
+  [[nodiscard]] std::vector<Departure> TakeDepartures() noexcept;
+
   [[nodiscard]] const std::map<std::string, KnownTarget>& targets()
       const noexcept {
     return targets_;
@@ -102,6 +119,7 @@
   std::optional<TimePoint> last_outage_;
   std::optional<TimePoint> outage_end_;
   bool changed_ = false;
+  std::vector<Departure> departures_;
 };
 
 }  // namespace kingcupshed::catalog
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -141,11 +141,22 @@
                   hooks_.on_event(
                       "targets_not_usable",
                       "a malformed response of another VM is ignored");
+                },
+                [this](const catalog::Departure& departure) {
+                  RecordDeparture(departure);
                 }}),
       readers_(vms_.self().vm),
       started_at_(Now()),
       target_read_ended_(io) {}
 
+void StoreFollower::RecordDeparture(const catalog::Departure& departure) {
+  const bool reported = departure.sign == catalog::DepartureSign::kReported;
+  hooks_.on_event("target_leaving",
+                  departure.name + (reported ? " reported it" : " was removed") +
+                      "; targets known to be current " +
+                      AgeText(targets_.current_at()) + " ago");
+}
+
 bool StoreFollower::Start() {
   if (!server_.Listen(vms_.self().peer_address)) {
     return false;
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -106,6 +106,7 @@
                                     const peer::wire::Published& published,
                                     TimePoint requested_at);
   void OnVmsChanged();
+  void RecordDeparture(const catalog::Departure& departure);
   void RecordStoreRead(bool succeeded, Duration elapsed);
   void RecordPollRound(const std::string& fresh_source);
   [[nodiscard]] bool ShouldReadNow(TimePoint now,
--- a/src/kingcupshed/daemon/target_follower.cc
+++ b/src/kingcupshed/daemon/target_follower.cc
@@ -119,7 +119,11 @@
 }
 
 void TargetFollower::Advance(TimePoint now) {
-  if (catalog_.Advance(now)) {
+  const bool changed = catalog_.Advance(now);
+  for (const catalog::Departure& departure : catalog_.TakeDepartures()) {
+    hooks_.on_departure(departure);
+  }
+  if (changed) {
     hooks_.on_targets();
   }
 }
--- a/src/kingcupshed/daemon/target_follower.h
+++ b/src/kingcupshed/daemon/target_follower.h
@@ -35,6 +35,8 @@
     std::function<void()> on_targets;
     /// Called with a response of another VM that can't be decoded.
     std::function<void()> on_invalid_targets;
+    /// Called with a target that gets no new work from now on.
+    std::function<void(const catalog::Departure&)> on_departure;
   };
 
   TargetFollower(const platform::Store& store, Hooks hooks);
--- a/test/kingcupshed/catalog/target_catalog.cc
+++ b/test/kingcupshed/catalog/target_catalog.cc
@@ -51,6 +51,22 @@
   BOOST_TEST(IsLeaving());
 }
 
+BOOST_AUTO_TEST_CASE(EachDepartureIsReturnedOnceWithItsSign) {
+  ApplyReport(1, 1, false, 0);
+  BOOST_TEST(catalog.TakeDepartures().empty());
+  catalog.ApplyRemoval("t1", LogOffset{1}, now);
+  (void)catalog.Advance(now);
+  const auto removed = catalog.TakeDepartures();
+  BOOST_REQUIRE_EQUAL(removed.size(), 1U);
+  BOOST_TEST(removed.front().name == "t1");
+  BOOST_TEST((removed.front().sign == DepartureSign::kRemoved));
+  ApplyReport(2, 1, true, 2);
+  ApplyReport(2, 2, true, 3);
+  const auto reported = catalog.TakeDepartures();
+  BOOST_REQUIRE_EQUAL(reported.size(), 1U);
+  BOOST_TEST((reported.front().sign == DepartureSign::kReported));
+}
+
 BOOST_AUTO_TEST_CASE(DrainStateEndsOnlyWithTheIncarnation) {
   ApplyReport(1, 2, true, 0);
   ApplyReport(1, 3, false, 1);
