Failing test: a removal is lost when the reader restarts meanwhile

A VM that polls a reader gets the changes since its own offset. A reader that restarted lists the targets, so it never saw the entry, and has no removal to hand on.

--- a/test/kingcupshed/daemon/store_follower.cc
+++ b/test/kingcupshed/daemon/store_follower.cc
@@ -273,6 +273,26 @@
   }
 }
 
+// The reader restarts right before a target's entry is removed, so its listing
+// doesn't show the target at all (issue 21, lestage-passerelle inc3).
+BOOST_AUTO_TEST_CASE(RemovalIsInForceThoughTheReaderRestartedMeanwhile) {
+  std::vector<const Vm*> vms{&AddVm(), &AddVm(), &AddVm()};
+  RunUntil([&] {
+    return std::all_of(vms.begin(), vms.end(), [](const Vm* vm) {
+      return HasAllData(*vm) && vm->fleet_size == 3U;
+    });
+  });
+  RunFor(std::chrono::seconds(2));
+  for (const char* target : {"a-1", "a-2"}) {
+    SetTargetState(target, "removed");
+    RestartVm(*InReaderOrder("z").front());
+    RunFor(kChangeBound);
+    for (const Vm* vm : InReaderOrder("z")) {
+      BOOST_TEST(!vm->HasActiveTarget(target), vm->name << ": " << target);
+    }
+  }
+}
+
 // In a zone where many VMs were replaced, the VMs to poll no longer exist, so a
 // VM reads the targets itself. It used to read no routes until it had suspected
 // each of them (lestage-passerelle-grown hunt-613b-3).
--- a/test/support/store_rig.h
+++ b/test/support/store_rig.h
@@ -108,6 +108,23 @@
     return *vms_.back();
   }
 
+  /// Ends a VM's process and starts another one of the same name and address.
+  Vm& RestartVm(const Vm& ended) {
+    const auto found =
+        std::find_if(vms_.begin(), vms_.end(),
+                     [&](const auto& vm) { return vm.get() == &ended; });
+    BOOST_REQUIRE(found != vms_.end());
+    (*found)->follower.Stop();
+    (*found)->store.SetAddress(kNoAddress);
+    auto started = std::make_unique<Vm>(
+        io_, StoreAddress(),
+        daemon::VmEndpoint{ended.name, ended.zone, ended.source + ":7101"},
+        ended.source);
+    ended_vms_.push_back(std::exchange(*found, std::move(started)));
+    BOOST_REQUIRE((*found)->follower.Start());
+    return **found;
+  }
+
   /// Publishes routes with the given version, as an operator would.
   void PublishRoutes(std::uint64_t version) {
     const std::string text =
@@ -171,6 +188,12 @@
         boost::json::object{{"silenced_senders", std::move(senders)}}));
   }
 
+  /// Removes a target's entry from the store, or adds it again.
+  /// @param state `live`, `leaving` or `removed`.
+  void SetTargetState(const std::string& name, const std::string& state) {
+    ControlStandin(R"({"targets": {")" + name + R"(": ")" + state + "\"}}");
+  }
+
   /// Returns the VMs of an availability zone, ordered as they select their
   /// reader.
   [[nodiscard]] std::vector<const Vm*> InReaderOrder(
@@ -219,6 +242,9 @@
        "address": "127.0.0.1:9001", "connections": 17, "state": "live"}],
     "vms": []})";
 
+  /// Address at which nothing listens.
+  static constexpr const char* kNoAddress = "127.0.0.1:9";
+
   static std::string NextPrefix() {
     static int number = 0;
     ++number;
@@ -253,6 +279,8 @@
   standin::Platform platform_;
   platform::Store operator_store_;
   std::vector<std::unique_ptr<Vm>> vms_;
+  /// Kept because their coroutines refer to them.
+  std::vector<std::unique_ptr<Vm>> ended_vms_;
 };
 
 }  // namespace kingcupshed::support
