Hand on all targets where the known changes don't reach back far enough

Cause: a VM asks its reader for the changes since its own offset. A reader that restarted knows only what its listing showed. It had no record of the removed key, responded without it, and its response counted as current. Why it works: a cache knows from which offset on it has every change; to a VM that is behind that it sends all targets, and keys that these lack count as removed. The same holds after a listing that follows a gap in the log, and for removals that were forgotten.

--- a/src/kingcupshed/catalog/record_cache.cc
+++ b/src/kingcupshed/catalog/record_cache.cc
@@ -32,6 +32,7 @@
 void RecordCache::ApplyListing(const std::vector<std::string>& keys,
                                LogOffset end,
                                TimePoint now) {
+  complete_since_ = end;
   for (auto& [key, entry] : entries_) {
     const bool listed = std::find(keys.begin(), keys.end(), key) != keys.end();
     if (!listed && entry.record.value && entry.record.offset < end) {
@@ -59,9 +60,16 @@
 }
 
 void RecordCache::Trim(TimePoint now) {
-  std::erase_if(entries_, [now](const auto& item) {
+  std::erase_if(entries_, [&](const auto& item) {
     const Entry& entry = item.second;
-    return !entry.record.value && now - entry.applied_at > kRemovalRetention;
+    if (entry.record.value || now - entry.applied_at <= kRemovalRetention) {
+      return false;
+    }
+    if (complete_since_) {
+      const LogOffset next{ToIndex(entry.changed_at) + 1};
+      complete_since_ = std::max(*complete_since_, next);
+    }
+    return true;
   });
 }
 
--- a/src/kingcupshed/catalog/record_cache.h
+++ b/src/kingcupshed/catalog/record_cache.h
@@ -43,6 +43,13 @@
   /// in order of their offsets.
   [[nodiscard]] std::vector<CachedRecord> ChangedSince(LogOffset from) const;
 
+  /// Returns true if `ChangedSince` has every change at or after an offset. It
+  /// lacks removals before the last listing of keys that were never known here,
+  /// and removals that were forgotten.
+  [[nodiscard]] bool IsCompleteSince(LogOffset from) const noexcept {
+    return complete_since_ && from >= *complete_since_;
+  }
+
   /// Forgets keys whose removal is too old to be requested by other VMs.
   void Trim(TimePoint now);
 
@@ -55,6 +62,8 @@
   };
 
   std::map<std::string, Entry> entries_;
+  /// Offset from which on no change is missing; nothing before a listing.
+  std::optional<LogOffset> complete_since_;
 };
 
 }  // namespace kingcupshed::catalog
--- a/src/kingcupshed/daemon/target_follower.cc
+++ b/src/kingcupshed/daemon/target_follower.cc
@@ -108,7 +108,7 @@
     return false;
   }
   if (!next_offset_ || page->next_offset >= *next_offset_) {
-    Apply(*page, !next_offset_);
+    Apply(*page, !published.all_targets().empty());
     next_offset_ = page->next_offset;
   }
   return true;
@@ -130,7 +130,7 @@
 
 void TargetFollower::AddTo(peer::wire::Published& response,
                            LogOffset known_up_to) {
-  if (known_up_to == LogOffset{0}) {
+  if (!records_.IsCompleteSince(known_up_to)) {
     response.set_all_targets(CompressAll());
   } else {
     AddRecords(records_.ChangedSince(known_up_to), *response.mutable_targets());
--- a/test/kingcupshed/catalog/record_cache.cc
+++ b/test/kingcupshed/catalog/record_cache.cc
@@ -74,6 +74,30 @@
   BOOST_TEST(!changes[0].value);
 }
 
+// A listing doesn't show the keys that were removed before it.
+BOOST_AUTO_TEST_CASE(ChangesBeforeAListingAreIncomplete) {
+  RecordCache cache;
+  BOOST_TEST(!cache.IsCompleteSince(LogOffset{30}));
+  cache.Apply({LogOffset{5}, "a", "value"}, true, kStart);
+  cache.ApplyListing({"a"}, LogOffset{20}, kStart);
+  BOOST_TEST(!cache.IsCompleteSince(LogOffset{19}));
+  BOOST_TEST(cache.IsCompleteSince(LogOffset{20}));
+  cache.ApplyListing({"a"}, LogOffset{40}, kStart);
+  BOOST_TEST(!cache.IsCompleteSince(LogOffset{39}));
+  BOOST_TEST(cache.IsCompleteSince(LogOffset{40}));
+}
+
+BOOST_AUTO_TEST_CASE(ChangesBeforeAForgottenRemovalAreIncomplete) {
+  RecordCache cache;
+  cache.Apply({LogOffset{5}, "a", "value"}, true, kStart);
+  cache.ApplyListing({"a"}, LogOffset{6}, kStart);
+  cache.Apply({LogOffset{7}, "a", std::nullopt}, true, kStart);
+  BOOST_TEST(cache.IsCompleteSince(LogOffset{6}));
+  cache.Trim(kStart + std::chrono::seconds(61));
+  BOOST_TEST(!cache.IsCompleteSince(LogOffset{7}));
+  BOOST_TEST(cache.IsCompleteSince(LogOffset{8}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::catalog
