Propagate routes and targets by age, from several sources, in one core

Cause: a chain without margin whose steps wait for one another. Routes and targets shared a response and its 300 ms; a table of 240 KB for 24 VMs fills a link of 10 Mbit/s for a second, polls time out, and all is sent again. A reader read every 0.9 s, a VM polled it every 0.9 s, and a silent source was noticed only once these had failed.

Now a core without IO (propagation) decides by the age of each copy alone: a poll waits at another VM and gets a response the moment there is something new; the head of the first zone reads every 0.5 s, other heads take over when the copies get older; further VMs, other zones first, are polled while the primary's poll is still out; at last a VM reads by itself. A large table is fetched apart, from any VM that has it, slower than a link. A read that lacks records proves nothing. ReaderSelector, RouteFreshness and StoreHealth went with their tests, since nobody waits at the store any more; their checks are in ScheduleTest, SourceOrderTest, HeldRequestsTest and FleetTest.

--- a/src/kingcupshed/catalog/record_cache.cc
+++ b/src/kingcupshed/catalog/record_cache.cc
@@ -24,6 +24,7 @@
   const bool restored = record.value && !entry.record.value;
   if (added || restored || is_change || !record.value) {
     entry.changed_at = record.offset;
+    changed_to_ = std::max(changed_to_, LogOffset{ToIndex(record.offset) + 1});
   }
   entry.record = std::move(record);
   entry.applied_at = now;
@@ -40,6 +41,7 @@
       // The removal happened at some offset before the end of the listing.
       entry.record.offset = LogOffset{ToIndex(end) - 1};
       entry.changed_at = entry.record.offset;
+      changed_to_ = std::max(changed_to_, end);
       entry.applied_at = now;
     }
   }
--- a/src/kingcupshed/catalog/record_cache.h
+++ b/src/kingcupshed/catalog/record_cache.h
@@ -50,6 +50,15 @@
     return complete_since_ && from >= *complete_since_;
   }
 
+  /// Returns the offset from which on `ChangedSince` has every change; zero
+  /// before the first listing.
+  [[nodiscard]] LogOffset complete_since() const noexcept {
+    return complete_since_.value_or(LogOffset{});
+  }
+
+  /// Returns the offset after that of the newest change.
+  [[nodiscard]] LogOffset changed_to() const noexcept { return changed_to_; }
+
   /// Forgets keys whose removal is too old to be requested by other VMs.
   void Trim(TimePoint now);
 
@@ -64,6 +73,7 @@
   std::map<std::string, Entry> entries_;
   /// Offset from which on no change is missing; nothing before a listing.
   std::optional<LogOffset> complete_since_;
+  LogOffset changed_to_{};
 };
 
 }  // namespace kingcupshed::catalog
--- a/src/kingcupshed/catalog/target_catalog.cc
+++ b/src/kingcupshed/catalog/target_catalog.cc
@@ -11,6 +11,9 @@
 /// Time after the end of a store outage within which running targets have
 /// registered again (two seconds), plus some for reading the records.
 constexpr Duration kReregistrationTime = std::chrono::milliseconds(2200);
+/// Time without a read of the store up to which no entry expires: heartbeats
+/// come every 1.5 s, and an entry expires when three are missing.
+constexpr Duration kMinExpiry = std::chrono::seconds(2);
 /// Time after which a removed target is forgotten; no call to it is in progress
 /// by then.
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
@@ -94,22 +97,27 @@
   }
 }
 
-void TargetCatalog::OnOutage(TimePoint now) noexcept {
-  last_outage_ = now;
-  outage_end_.reset();
+void TargetCatalog::OnOutage() noexcept {
+  outage_ = true;
 }
 
 void TargetCatalog::OnReadSucceeded(TimePoint now) noexcept {
-  if (last_outage_ && !outage_end_) {
-    outage_end_ = now;
+  if (std::exchange(outage_, false)) {
+    registration_end_ = now + kReregistrationTime;
   }
 }
 
-TimePoint TargetCatalog::RemovalTime(TimePoint now) const noexcept {
-  if (!outage_end_) {
-    return last_outage_ ? now + kReregistrationTime : now;
+void TargetCatalog::OnReadByOthers(Duration gap, TimePoint now) noexcept {
+  if (gap >= kMinExpiry) {
+    OnReadSucceeded(now);
+    return;
   }
-  return std::max(now, *outage_end_ + kReregistrationTime);
+  outage_ = false;
+}
+
+TimePoint TargetCatalog::RemovalTime(TimePoint now) const noexcept {
+  return outage_ ? now + kReregistrationTime
+                 : std::max(now, registration_end_.value_or(now));
 }
 
 bool TargetCatalog::Advance(TimePoint now) {
--- a/src/kingcupshed/catalog/target_catalog.h
+++ b/src/kingcupshed/catalog/target_catalog.h
@@ -84,11 +84,17 @@
                     TimePoint now);
 
   /// Records that a read of the store failed.
-  void OnOutage(TimePoint now) noexcept;
+  void OnOutage() noexcept;
 
   /// Records that a read of the store succeeded.
   void OnReadSucceeded(TimePoint now) noexcept;
 
+  /// Records that other VMs read the store while this one failed.
+  /// @param gap Time between two of their reads. Entries expire only in a
+  /// longer
+  ///   outage, so that a short one delays no removal.
+  void OnReadByOthers(Duration gap, TimePoint now) noexcept;
+
   /// Applies removals whose delay has passed, and forgets targets that were
   /// removed long ago.
   /// @return True when anything changed since the last call.
@@ -115,9 +121,10 @@
 
   std::map<std::string, KnownTarget> targets_;
   std::map<std::string, Entry> entries_;
-  /// Last failed read, and the first read that succeeded after it.
-  std::optional<TimePoint> last_outage_;
-  std::optional<TimePoint> outage_end_;
+  /// True after a read that failed, until one succeeds.
+  bool outage_ = false;
+  /// Time until which targets may register again after an outage.
+  std::optional<TimePoint> registration_end_;
   bool changed_ = false;
   std::vector<Departure> departures_;
 };
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -1,25 +1,22 @@
 #pragma once
 
+#include <array>
 #include <functional>
-#include <map>
-#include <optional>
 #include <string>
-#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "kingcupshed/catalog/reader_selector.h"
-#include "kingcupshed/catalog/store_health.h"
 #include "kingcupshed/catalog/target_catalog.h"
 #include "kingcupshed/core/random.h"
+#include "kingcupshed/daemon/peer_exchange.h"
 #include "kingcupshed/daemon/route_follower.h"
 #include "kingcupshed/daemon/target_follower.h"
 #include "kingcupshed/daemon/vm_directory.h"
-#include "kingcupshed/peer/client.h"
-#include "kingcupshed/peer/server.h"
+#include "kingcupshed/metrics/latency_histogram.h"
 #include "kingcupshed/platform/store.h"
+#include "kingcupshed/propagation/schedule.h"
 #include "kingcupshed/route/route_table.h"
 
 namespace kingcupshed::daemon {
@@ -37,12 +34,14 @@
   std::function<void(std::string kind, std::string detail)> on_event;
 };
 
+/// Oldest age of this VM's copies before each update, by content.
+using CopyAges =
+    std::array<metrics::LatencyHistogram, propagation::kContents.size()>;
+
 /// Follows the data in the platform's store: routes, targets and VMs.
 ///
-/// In each zone one VM, the reader, reads the store and the others poll the
-/// reader (see `catalog::ReaderSelector`). A VM whose sources don't respond or
-/// are stale reads the store itself. Readers get routes by long polls, and
-/// targets, which change all the time, at a fixed interval.
+/// `propagation::Schedule` decides when this VM reads the store and which other
+/// VMs it polls for what they have read; this class carries that out.
 class StoreFollower {
  public:
   /// @param first_start True if the whole fleet starts for the first time.
@@ -64,86 +63,51 @@
   }
 
   /// Returns true once the targets have been read, by this VM or another.
-  [[nodiscard]] bool has_targets() const noexcept {
-    return targets_.current_at().has_value();
+  [[nodiscard]] bool has_targets() const noexcept { return targets_.loaded(); }
+
+  [[nodiscard]] const CopyAges& copy_ages() const noexcept {
+    return copy_ages_;
   }
 
  private:
-  /// Outcome of polling another VM.
-  enum class PollResult : std::uint8_t {
-    kFresh,
-    /// The VM responded with stale data, or with data no newer than that of
-    /// this VM, whose own reads fail.
-    kStale,
-    /// The VM responded without data, or with data that can't be decoded.
-    kNoData,
-    kNoResponse,
-  };
-
-  static const char* PollResultName(PollResult result);
-  boost::asio::awaitable<void> FollowRoutes();
-  [[nodiscard]] Duration RoutePollWait(TimePoint now) const;
-  boost::asio::awaitable<void> FollowTargets();
-  [[nodiscard]] Duration NextUpdateDelay(bool polled);
-  void ReadRoutesIfPollUnreliable();
-  boost::asio::awaitable<bool> ReadTargetsUnlessOverdue();
+  void Drive();
+  void ScheduleDrive();
+  void Carry(const propagation::Action& action);
+  boost::asio::awaitable<void> ReadRoutes();
   boost::asio::awaitable<void> ReadTargets();
-  boost::asio::awaitable<bool> FetchTargets();
-  void OnTargetReadOverdue();
-  boost::asio::awaitable<bool> PollPeers();
-  boost::asio::awaitable<PollResult> PollPeer(catalog::PeerPoll poll);
-  [[nodiscard]] PollResult JudgeFreshness(Duration age, TimePoint requested_at);
-  void SuspectStalePeers();
+  void EndRead(propagation::Content content,
+               const TopicRead& read,
+               TimePoint sent_at);
+  boost::asio::awaitable<void> Poll(propagation::PollVm poll);
+  boost::asio::awaitable<void> FetchRoutes(std::string vm);
+  void RecordCurrent(propagation::Content content, TimePoint at);
+  void RecordStaleness(TimePoint now);
   boost::asio::awaitable<void> RegisterSelf();
   boost::asio::awaitable<void> PollVmList();
   boost::asio::awaitable<void> AdvanceCatalogPeriodically();
   boost::asio::awaitable<void> Sleep(Duration duration);
-  [[nodiscard]] Duration WithJitter(Duration mean);
-  [[nodiscard]] Duration NextBackoff();
-  void HandleRequest(const peer::wire::PublishedRequest& request,
-                     peer::wire::Published& response);
-  [[nodiscard]] bool ApplyPublished(const std::string& vm,
-                                    const peer::wire::Published& published,
-                                    TimePoint requested_at);
+  [[nodiscard]] Duration RetryDelay();
   void OnVmsChanged();
   void RecordDeparture(const catalog::Departure& departure);
-  void RecordStoreRead(bool succeeded, Duration elapsed);
-  void RecordPollRound(const std::string& fresh_source);
-  [[nodiscard]] bool ShouldReadNow(TimePoint now,
-                                   std::optional<TimePoint> current_at) const;
+  [[nodiscard]] std::string AgeText(propagation::Content content) const;
 
   boost::asio::io_context& io_;
   bool first_start_;
   StoreHooks hooks_;
   VmDirectory vms_;
   Random random_;
-  peer::Client client_;
-  peer::Server server_;
-
   RouteFollower routes_;
   TargetFollower targets_;
-  catalog::ReaderSelector readers_;
-  catalog::StoreHealth health_;
-  TimePoint started_at_;
-  /// True while a read of targets is in progress.
-  bool target_read_pending_ = false;
-  /// True if the last read of targets brought an update.
-  bool target_read_succeeded_ = false;
-  /// Cancelled when a read of targets ends.
-  boost::asio::steady_timer target_read_ended_;
+  propagation::Schedule schedule_;
+  PeerExchange exchange_;
+  /// Wakes the schedule.
+  boost::asio::steady_timer wake_;
+  bool drive_scheduled_ = false;
+  bool stopped_ = false;
   bool store_reachable_ = true;
-  /// Number of consecutive reads of targets that failed.
-  std::uint32_t store_failures_ = 0;
-  /// Earliest time of the next read of targets after a failure.
-  TimePoint next_read_at_{};
-  /// True if a VM responded in the last round of polls.
-  bool peer_responded_ = false;
-  /// VMs that responded without fresh data in that round.
-  std::vector<std::string> stale_peers_;
-  /// Results of that round, for the log.
-  std::string round_results_;
-  /// True if no VM had fresh data in the last round, or none was polled yet.
-  bool sources_stale_ = true;
+  /// True while the older copy is older than on a calm day.
+  bool stale_ = false;
+  CopyAges copy_ages_;
 };
 
 }  // namespace kingcupshed::daemon
--- a/src/kingcupshed/daemon/target_follower.cc
+++ b/src/kingcupshed/daemon/target_follower.cc
@@ -19,8 +19,6 @@
 
 /// Several times the size of the target records of the largest fleet.
 constexpr std::size_t kMaxTargetBytes = 16UL * 1024 * 1024;
-/// Calls of a read of all targets; see `ReadTopic`.
-constexpr int kListingCalls = 2;
 
 TimePoint Now() {
   return std::chrono::steady_clock::now();
@@ -72,33 +70,25 @@
 TargetFollower::TargetFollower(const platform::Store& store, Hooks hooks)
     : store_(store), hooks_(std::move(hooks)) {}
 
-asio::awaitable<TargetRead> TargetFollower::Read() {
+asio::awaitable<TopicRead> TargetFollower::Read() {
   const bool complete = !next_offset_;
-  const TimePoint sent_at = Now();
   std::string topic(platform::kTargetTopic);
   const KeyedPage page = co_await ReadTopic(
-      store_, std::move(topic), next_offset_, Duration::zero(),
-      [this, sent_at](const KeyedPage& first_listing) {
-        Apply(first_listing, false);
-        RecordCurrent(sent_at);
-      });
-  const Duration elapsed = Now() - sent_at;
-  TargetRead read{page.status, elapsed,
-                  complete ? elapsed / kListingCalls : elapsed};
+      store_, std::move(topic), next_offset_,
+      [this](const KeyedPage& first_listing) { Apply(first_listing, false); });
   if (page.status == StoreStatus::kExpired) {
     next_offset_.reset();
-    co_return read;
+    co_return TopicRead{page.status, false};
   }
   if (page.status != StoreStatus::kDone) {
-    RecordOutage(Now());
-    co_return read;
+    RecordOutage();
+    co_return TopicRead{page.status, false};
   }
-  RecordReachable(Now());
+  catalog_.OnReadSucceeded(Now());
   Apply(page, complete);
   // Another VM may have sent newer records meanwhile.
   next_offset_ = std::max(next_offset_.value_or(LogOffset{}), page.next_offset);
-  RecordCurrent(sent_at);
-  co_return read;
+  co_return TopicRead{page.status, !page.truncated};
 }
 
 bool TargetFollower::ApplyFromPeer(const peer::wire::Published& published) {
@@ -114,10 +104,6 @@
   return true;
 }
 
-void TargetFollower::RecordCurrent(TimePoint read_at) noexcept {
-  current_at_ = std::max(current_at_.value_or(read_at), read_at);
-}
-
 void TargetFollower::Advance(TimePoint now) {
   const bool changed = catalog_.Advance(now);
   for (const catalog::Departure& departure : catalog_.TakeDepartures()) {
@@ -142,6 +128,7 @@
 ///   gone.
 void TargetFollower::Apply(const KeyedPage& page, bool complete) {
   const TimePoint now = Now();
+  loaded_ = true;
   std::vector<std::string> names;
   for (const platform::KeyedRecord& record : page.records) {
     names.push_back(record.key);
--- a/src/kingcupshed/daemon/target_follower.h
+++ b/src/kingcupshed/daemon/target_follower.h
@@ -9,6 +9,7 @@
 #include "kingcupshed/catalog/record_cache.h"
 #include "kingcupshed/catalog/target_catalog.h"
 #include "kingcupshed/core/time.h"
+#include "kingcupshed/daemon/topic_reader.h"
 #include "kingcupshed/platform/store.h"
 
 namespace kingcupshed::peer::wire {
@@ -17,15 +18,6 @@
 
 namespace kingcupshed::daemon {
 
-/// Outcome of a read of the targets from the store.
-struct TargetRead {
-  platform::StoreStatus status;
-  /// Time that the read took.
-  Duration elapsed{};
-  /// Average time of the calls of which it consisted.
-  Duration call_time{};
-};
-
 /// Keeps the newest known targets, read from the store or received from other
 /// VMs.
 class TargetFollower {
@@ -43,22 +35,20 @@
 
   /// Reads the targets from the store: all of them the first time and after the
   /// store has dropped records, what is new otherwise.
-  [[nodiscard]] boost::asio::awaitable<TargetRead> Read();
+  [[nodiscard]] boost::asio::awaitable<TopicRead> Read();
 
   /// Applies the targets received from another VM.
   /// @return False if they can't be decoded.
   [[nodiscard]] bool ApplyFromPeer(const peer::wire::Published& published);
 
-  /// Records that the known targets were read from the store at `read_at` or
-  /// later.
-  void RecordCurrent(TimePoint read_at) noexcept;
-
   /// Records that neither the store nor other VMs have current targets.
-  void RecordOutage(TimePoint now) { catalog_.OnOutage(now); }
+  void RecordOutage() { catalog_.OnOutage(); }
 
-  /// Records that the targets come from the store again, by this VM's reads or
-  /// by those of another.
-  void RecordReachable(TimePoint now) { catalog_.OnReadSucceeded(now); }
+  /// Records that other VMs read the targets.
+  /// @param gap Time from their previous read until this one, or more.
+  void RecordReadByOthers(Duration gap, TimePoint now) {
+    catalog_.OnReadByOthers(gap, now);
+  }
 
   /// Completes removals that were delayed to let targets register again.
   void Advance(TimePoint now);
@@ -70,10 +60,11 @@
   [[nodiscard]] const catalog::TargetCatalog& catalog() const noexcept {
     return catalog_;
   }
-  /// Returns when the known targets were read from the store, by this VM or the
-  /// one from which it received them.
-  [[nodiscard]] std::optional<TimePoint> current_at() const noexcept {
-    return current_at_;
+  /// Returns true once targets have arrived.
+  [[nodiscard]] bool loaded() const noexcept { return loaded_; }
+  /// Returns the records to pass on to other VMs.
+  [[nodiscard]] const catalog::RecordCache& records() const noexcept {
+    return records_;
   }
   /// Returns the offset up to which the targets are known, if they are.
   [[nodiscard]] std::optional<LogOffset> next_offset() const noexcept {
@@ -88,7 +79,7 @@
   Hooks hooks_;
   catalog::TargetCatalog catalog_;
   catalog::RecordCache records_;
-  std::optional<TimePoint> current_at_;
+  bool loaded_ = false;
   std::optional<LogOffset> next_offset_;
   /// All target records, compressed, and the offset that they are valid for.
   std::string compressed_;
--- a/src/kingcupshed/daemon/topic_reader.cc
+++ b/src/kingcupshed/daemon/topic_reader.cc
@@ -8,10 +8,10 @@
     const platform::Store& store,
     std::string topic,
     std::optional<LogOffset> from,
-    Duration wait,
     std::function<void(const platform::KeyedPage&)> on_first_listing) {
   if (from) {
-    co_return co_await store.ReadFrom(std::move(topic), *from, wait);
+    co_return co_await store.ReadFrom(std::move(topic), *from,
+                                      Duration::zero());
   }
   // The end offset of a listing may be past the records that the listing shows.
   // A second listing shows all records before the end offset of the first.
--- a/src/kingcupshed/peer/client.cc
+++ b/src/kingcupshed/peer/client.cc
@@ -212,6 +212,18 @@
       address, request, timeout, method, std::move(on_response));
 }
 
+void Client::FetchRoutes(const std::string& address,
+                         const wire::RoutesRequest& request,
+                         Duration timeout,
+                         RoutesCallback on_response) {
+  using Method = void (wire::Peers::Stub::async::*)(
+      grpc::ClientContext*, const wire::RoutesRequest*, wire::RoutesDocument*,
+      std::function<void(grpc::Status)>);
+  const Method method = &wire::Peers::Stub::async::FetchRoutes;
+  state_->StartCall<wire::RoutesRequest, wire::RoutesDocument>(
+      address, request, timeout, method, std::move(on_response));
+}
+
 void Client::CloseChannel(const std::string& address) {
   state_->peers.erase(address);
 }
--- a/src/kingcupshed/peer/client.h
+++ b/src/kingcupshed/peer/client.h
@@ -19,6 +19,7 @@
  public:
   using GossipCallback = std::function<void(const wire::Gossip*)>;
   using PublishedCallback = std::function<void(const wire::Published*)>;
+  using RoutesCallback = std::function<void(const wire::RoutesDocument*)>;
   using KeptAnswerCallback = std::function<void(const wire::KeptAnswer*)>;
 
   explicit Client(boost::asio::io_context& io);
@@ -44,6 +45,12 @@
                       Duration timeout,
                       PublishedCallback on_response);
 
+  /// Requests the routes that a VM has.
+  void FetchRoutes(const std::string& address,
+                   const wire::RoutesRequest& request,
+                   Duration timeout,
+                   RoutesCallback on_response);
+
   /// Closes the channel to a VM that has left the fleet.
   void CloseChannel(const std::string& address);
 
--- a/src/kingcupshed/peer/fwd.h
+++ b/src/kingcupshed/peer/fwd.h
@@ -9,6 +9,8 @@
 class KeptAnswerRequest;
 class Published;
 class PublishedRequest;
+class RoutesDocument;
+class RoutesRequest;
 
 }  // namespace wire
 
--- a/src/kingcupshed/peer/server.cc
+++ b/src/kingcupshed/peer/server.cc
@@ -45,14 +45,37 @@
       grpc::CallbackServerContext* context,
       const wire::PublishedRequest* request,
       wire::Published* response) override {
+    return Accept(context, [=, this](grpc::ServerUnaryReactor* reactor) {
+      handlers.fetch_published(*request, *response, [reactor] {
+        reactor->Finish(grpc::Status::OK);
+      });
+    });
+  }
+
+  grpc::ServerUnaryReactor* FetchRoutes(
+      grpc::CallbackServerContext* context,
+      const wire::RoutesRequest* request,
+      wire::RoutesDocument* response) override {
     return Handle(context,
-                  [=, this] { handlers.fetch_published(*request, *response); });
+                  [=, this] { handlers.fetch_routes(*request, *response); });
   }
 
   /// Runs a handler on the io_context's thread and then ends the call.
   template <typename Handler>
   grpc::ServerUnaryReactor* Handle(grpc::CallbackServerContext* context,
                                    Handler handler) {
+    return Accept(context, [handler = std::move(handler)](
+                               grpc::ServerUnaryReactor* reactor) {
+      handler();
+      reactor->Finish(grpc::Status::OK);
+    });
+  }
+
+  /// Runs a handler on the io_context's thread; it ends the call, then or
+  /// later.
+  template <typename Handler>
+  grpc::ServerUnaryReactor* Accept(grpc::CallbackServerContext* context,
+                                   Handler handler) {
     grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
     // The call is counted before `stopped` is checked: either this function
     // sees `stopped`, or `Stop` sees the call and waits for it.
@@ -63,8 +86,7 @@
     }
     boost::asio::post(io, [this, reactor, handler = std::move(handler)] {
       --pending_calls;
-      handler();
-      reactor->Finish(grpc::Status::OK);
+      handler(reactor);
     });
     return reactor;
   }
--- a/src/kingcupshed/peer/server.h
+++ b/src/kingcupshed/peer/server.h
@@ -20,10 +20,16 @@
   std::function<void(const wire::KeptAnswerRequest& request,
                      wire::KeptAnswer& response)>
       fetch_kept_answer;
-  /// Fills the response with what this VM has read from the store.
+  /// Fills the response with what this VM has read from the store, and then
+  /// calls `done` once, at once or later. Both messages exist until then.
   std::function<void(const wire::PublishedRequest& request,
-                     wire::Published& response)>
+                     wire::Published& response,
+                     std::function<void()> done)>
       fetch_published{};
+  /// Fills the response with the routes of this VM.
+  std::function<void(const wire::RoutesRequest& request,
+                     wire::RoutesDocument& response)>
+      fetch_routes{};
 };
 
 /// Serves calls of other VMs over gRPC.
@@ -38,8 +44,8 @@
   /// @return False if the address can't be bound.
   [[nodiscard]] bool Listen(const std::string& address);
 
-  /// Completes the calls in progress and stops serving. Calling it again has no
-  /// effect.
+  /// Completes the calls in progress and stops serving. The handlers must have
+  /// completed the calls that they hold. Calling it again has no effect.
   void Stop();
 
  private:
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -36,6 +36,9 @@
 /// Limit on the pages of a listing. A page holds 500 keys, so this covers more
 /// keys than any deployment has.
 constexpr int kMaxPages = 64;
+/// Length from which the response to a read may lack records that didn't fit:
+/// half of the length that the store allows, since a record can be long.
+constexpr std::size_t kLongResponseBytes = 512UL * 1024;
 
 /// Returns true if a status code guarantees that the call had no effect.
 bool GuaranteesNoEffect(unsigned code) {
@@ -127,6 +130,8 @@
     page.records.push_back(std::move(record));
   }
   page.next_offset = LogOffset{ToIndex(from) + page.records.size()};
+  page.truncated =
+      body.size() >= kLongResponseBytes && page.next_offset < raw.end_offset;
   return page;
 }
 
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -42,6 +42,8 @@
   /// response, so this is not always the end of the log.
   LogOffset next_offset{};
   std::vector<KeyedRecord> records;
+  /// True if the response was as long as it may be, and the log holds more.
+  bool truncated = false;
 };
 
 /// Result of a read of any topic; records are not decoded.
--- /dev/null
+++ b/src/kingcupshed/propagation/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace kingcupshed::propagation {
+
+class HeldRequests;
+class Schedule;
+class SourceOrder;
+
+}  // namespace kingcupshed::propagation
--- a/test/kingcupshed/catalog/target_catalog.cc
+++ b/test/kingcupshed/catalog/target_catalog.cc
@@ -104,7 +104,7 @@
 BOOST_AUTO_TEST_CASE(TargetsHaveTimeToRegisterAgainAfterAnOutage) {
   ApplyReport(1, 1, false, 0);
   (void)catalog.Advance(now);
-  catalog.OnOutage(now);
+  catalog.OnOutage();
   now += seconds(5);
   catalog.OnReadSucceeded(now);
   catalog.ApplyRemoval("t1", LogOffset{1}, now);
@@ -121,7 +121,7 @@
 BOOST_AUTO_TEST_CASE(RemovalTakesEffectSoonAfterAnOutage) {
   ApplyReport(1, 1, false, 0);
   (void)catalog.Advance(now);
-  catalog.OnOutage(now);
+  catalog.OnOutage();
   catalog.OnReadSucceeded(now);
   catalog.ApplyListing({}, LogOffset{5}, now);
   now += milliseconds(2300);
@@ -129,6 +129,30 @@
   BOOST_TEST(IsLeaving());
 }
 
+// One VM's reads failed while others read on; a removal was delayed beyond the
+// time in which a leaving target may get calls.
+BOOST_AUTO_TEST_CASE(RemovalIsNotDelayedWhenOthersReadAllTheTime) {
+  ApplyReport(1, 1, false, 0);
+  (void)catalog.Advance(now);
+  catalog.OnOutage();
+  catalog.OnReadByOthers(milliseconds(600), now);
+  catalog.ApplyRemoval("t1", LogOffset{1}, now);
+  BOOST_TEST(catalog.Advance(now));
+  BOOST_TEST(IsLeaving());
+}
+
+BOOST_AUTO_TEST_CASE(RemovalIsDelayedAfterAnOutageForAllVms) {
+  ApplyReport(1, 1, false, 0);
+  (void)catalog.Advance(now);
+  catalog.OnOutage();
+  catalog.OnReadByOthers(seconds(5), now);
+  catalog.OnOutage();
+  catalog.OnReadByOthers(milliseconds(600), now);
+  catalog.ApplyRemoval("t1", LogOffset{1}, now);
+  BOOST_TEST(!catalog.Advance(now));
+  BOOST_TEST(!IsLeaving());
+}
+
 BOOST_AUTO_TEST_CASE(RemovedTargetThatRegistersAgainIsRestored) {
   ApplyReport(1, 7, false, 0);
   catalog.ApplyRemoval("t1", LogOffset{1}, now);
--- a/test/kingcupshed/peer/client.cc
+++ b/test/kingcupshed/peer/client.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -89,6 +90,43 @@
   BOOST_TEST(body == "body of k");
 }
 
+// A poll waits at the other VM until there is something new.
+BOOST_AUTO_TEST_CASE(HeldCallIsCompletedLater) {
+  asio::io_context io;
+  ServerHandlers handlers = EchoHandlers();
+  std::function<void()> complete;
+  wire::Published* held = nullptr;
+  handlers.fetch_published = [&](const wire::PublishedRequest&,
+                                 wire::Published& response,
+                                 std::function<void()> done) {
+    held = &response;
+    complete = std::move(done);
+  };
+  Server server(io, handlers);
+  const std::string address = UnusedAddress();
+  BOOST_REQUIRE(server.Listen(address));
+  Client client(io);
+  std::optional<std::uint64_t> version;
+  client.FetchPublished(
+      address, {}, std::chrono::seconds(5),
+      [&](const wire::Published* response) {
+        version = response == nullptr ? 0 : response->routes_version();
+      });
+  const auto work = asio::make_work_guard(io);
+  while (!complete) {
+    io.run_one();
+  }
+  BOOST_TEST(Exchange(io, client, address, std::chrono::seconds(5)).value() ==
+             "response to a");
+  BOOST_TEST(!version);
+  held->set_routes_version(7);
+  complete();
+  while (!version) {
+    io.run_one();
+  }
+  BOOST_TEST(*version == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(SecondServerCannotBindTheSameAddress) {
   asio::io_context io;
   Server first(io, EchoHandlers());
--- a/test/support/store_rig.h
+++ b/test/support/store_rig.h
@@ -19,10 +19,10 @@
 #include <boost/json/serialize.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "kingcupshed/catalog/reader_selector.h"
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/daemon/store_follower.h"
 #include "kingcupshed/platform/documents.h"
+#include "kingcupshed/propagation/source_order.h"
 #include "standin/http_service.h"
 #include "standin/platform.h"
 
@@ -206,7 +206,7 @@
         names.push_back(vm->name);
       }
     }
-    const std::vector<std::string> order = catalog::InReaderOrder(names);
+    const std::vector<std::string> order = propagation::InSourceOrder(names);
     std::sort(vms.begin(), vms.end(), [&](const Vm* a, const Vm* b) {
       return std::find(order.begin(), order.end(), a->name) <
              std::find(order.begin(), order.end(), b->name);
