Stop using a target whose response says that it leaves

A target that leaves says so in each of its responses (Server-Leaving), also in refusals and failures. A VM used it until the mark came through the store. Now the VM marks it at once, for the target's incarnation, whatever its heartbeats say; a response of another instance (421) says nothing about the target. Tests by scripted targets, the catalog and the store follower; the first two can't be built on the code before.

--- a/src/kingcupshed/catalog/target_catalog.cc
+++ b/src/kingcupshed/catalog/target_catalog.cc
@@ -85,6 +85,19 @@
   found->second.removed_at = RemovalTime(now);
 }
 
+void TargetCatalog::OnLeavingResponse(const std::string& name) {
+  const auto found = targets_.find(name);
+  if (found == targets_.end()) {
+    return;
+  }
+  KnownTarget& known = found->second;
+  known.report.draining = true;
+  if (!std::exchange(known.leaving, true)) {
+    departures_.push_back({name, DepartureSign::kResponse});
+    changed_ = true;
+  }
+}
+
 void TargetCatalog::ApplyListing(const std::vector<std::string>& names,
                                  LogOffset end,
                                  TimePoint now) {
--- a/src/kingcupshed/catalog/target_catalog.h
+++ b/src/kingcupshed/catalog/target_catalog.h
@@ -52,6 +52,8 @@
   kReported,
   /// Its entry was removed.
   kRemoved,
+  /// One of its responses said so.
+  kResponse,
 };
 
 /// A target that gets no new work from now on.
@@ -76,6 +78,10 @@
   /// Applies the removal of an entry.
   void ApplyRemoval(const std::string& name, LogOffset offset, TimePoint now);
 
+  /// Records that a response of a target said that it leaves. This holds until
+  /// the target's next incarnation, whatever its heartbeats say.
+  void OnLeavingResponse(const std::string& name);
+
   /// Applies a complete listing: entries that it lacks were removed.
   /// @param names Names in the listing.
   /// @param end Offset up to which the listing is complete.
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -177,7 +177,9 @@
       [](ServiceId, Rank) -> const table::Row* { return nullptr; },
       [this](TargetId target) { return targets_[target].address; },
       [this](TargetId target) { return runtime_.targets.NameOf(target); },
-      [](TargetId) {},
+      [this](TargetId target) {
+        follower_.OnLeavingResponse(runtime_.targets.NameOf(target));
+      },
       [](std::string_view) -> std::optional<http::PageResponse> {
         return std::nullopt;
       }};
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -44,6 +44,18 @@
   return std::to_string(ms.count()) + " ms";
 }
 
+const char* SignText(catalog::DepartureSign sign) {
+  switch (sign) {
+    case catalog::DepartureSign::kReported:
+      return " reported it";
+    case catalog::DepartureSign::kRemoved:
+      return " was removed";
+    case catalog::DepartureSign::kResponse:
+      return " said so in a response";
+  }
+  return "";
+}
+
 }  // namespace
 
 StoreFollower::StoreFollower(asio::io_context& io,
@@ -104,6 +116,10 @@
   exchange_.Stop();
 }
 
+void StoreFollower::OnLeavingResponse(const std::string& target) {
+  targets_.OnLeavingResponse(target, Now());
+}
+
 /// Carries out what is due, once everything that runs now has ended.
 void StoreFollower::ScheduleDrive() {
   if (std::exchange(drive_scheduled_, true)) {
@@ -237,10 +253,8 @@
 }
 
 void StoreFollower::RecordDeparture(const catalog::Departure& departure) {
-  const bool reported = departure.sign == catalog::DepartureSign::kReported;
   hooks_.on_event("target_leaving",
-                  departure.name +
-                      (reported ? " reported it" : " was removed") +
+                  departure.name + SignText(departure.sign) +
                       "; targets known to be complete " +
                       AgeText(Content::kTargets) + " ago");
 }
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -58,6 +58,9 @@
   /// Ends calls from and to other VMs and stops serving them.
   void Stop();
 
+  /// Records that a response of a target said that it leaves.
+  void OnLeavingResponse(const std::string& target);
+
   [[nodiscard]] const catalog::TargetCatalog& targets() const noexcept {
     return targets_.catalog();
   }
--- a/src/kingcupshed/daemon/target_follower.cc
+++ b/src/kingcupshed/daemon/target_follower.cc
@@ -104,6 +104,12 @@
   return true;
 }
 
+void TargetFollower::OnLeavingResponse(const std::string& target,
+                                       TimePoint now) {
+  catalog_.OnLeavingResponse(target);
+  Advance(now);
+}
+
 void TargetFollower::Advance(TimePoint now) {
   const bool changed = catalog_.Advance(now);
   for (const catalog::Departure& departure : catalog_.TakeDepartures()) {
--- a/src/kingcupshed/daemon/target_follower.h
+++ b/src/kingcupshed/daemon/target_follower.h
@@ -50,6 +50,9 @@
     catalog_.OnReadByOthers(gap, now);
   }
 
+  /// Records that a response of a target said that it leaves.
+  void OnLeavingResponse(const std::string& target, TimePoint now);
+
   /// Completes removals that were delayed to let targets register again.
   void Advance(TimePoint now);
 
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -257,7 +257,7 @@
   const auto& head = response_->get();
   const HeaderScheme& header_scheme = *request_.header_scheme;
   load_ = header_scheme.parse_load(GetField(head, header_scheme.load));
-  draining_ = !header_scheme.drain.empty() &&
+  draining_ = !header_scheme.drain.empty() && !IsFromWrongInstance() &&
               !GetField(head, header_scheme.drain).empty();
   ParseKeepAlive();
   pool_.OnResponse(*lease_, Now());
@@ -336,12 +336,18 @@
          (!success || !GetField(head, header_scheme.response_stamp).empty());
 }
 
+/// Returns whether another instance than the one that was meant responded; it
+/// says nothing about the target.
+bool Attempt::IsFromWrongInstance() const {
+  const unsigned status = request_.header_scheme->wrong_instance_status;
+  return status != 0 && response_->get().result_int() == status;
+}
+
 /// Returns whether the target reports that it did not run the work.
 bool Attempt::ReportsNotRun() const {
   const auto& head = response_->get();
   const HeaderScheme& header_scheme = *request_.header_scheme;
-  if (header_scheme.wrong_instance_status != 0 &&
-      head.result_int() == header_scheme.wrong_instance_status) {
+  if (IsFromWrongInstance()) {
     return true;
   }
   const std::string_view word = GetField(head, header_scheme.not_run);
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -102,6 +102,7 @@
   asio::awaitable<boost::system::error_code> ReadHead();
   [[nodiscard]] bool IsForeignResponse() const;
   [[nodiscard]] bool IsValidResponse() const;
+  [[nodiscard]] bool IsFromWrongInstance() const;
   [[nodiscard]] bool ReportsNotRun() const;
   void ParseKeepAlive();
   void RecordSent(std::size_t bytes);
--- a/src/kingcupshed/platform/header_scheme.cc
+++ b/src/kingcupshed/platform/header_scheme.cc
@@ -46,6 +46,7 @@
     header_scheme.call_id = "Request-Id";
     header_scheme.deadline = "Deadline-Ms";
     header_scheme.load = "Server-Load";
+    header_scheme.drain = "Server-Leaving";
     header_scheme.expected_instance = "Expect-Instance";
     header_scheme.instance = "Instance-Id";
     header_scheme.response_stamp = "Response-Stamp";
--- a/test/kingcupshed/catalog/target_catalog.cc
+++ b/test/kingcupshed/catalog/target_catalog.cc
@@ -153,6 +153,21 @@
   BOOST_TEST(!IsLeaving());
 }
 
+// A target's response said that it leaves, before its heartbeat did.
+BOOST_AUTO_TEST_CASE(LeavingResponseHoldsForTheIncarnation) {
+  catalog.OnLeavingResponse("t1");
+  ApplyReport(1, 1, false, 0);
+  (void)catalog.Advance(now);
+  catalog.OnLeavingResponse("t1");
+  BOOST_TEST(catalog.Advance(now));
+  BOOST_TEST(IsLeaving());
+  ApplyReport(1, 2, false, 1);
+  BOOST_TEST(IsLeaving());
+  BOOST_REQUIRE_EQUAL(catalog.TakeDepartures().size(), 1U);
+  ApplyReport(2, 1, false, 2);
+  BOOST_TEST(!IsLeaving());
+}
+
 BOOST_AUTO_TEST_CASE(RemovedTargetThatRegistersAgainIsRestored) {
   ApplyReport(1, 7, false, 0);
   catalog.ApplyRemoval("t1", LogOffset{1}, now);
--- a/test/kingcupshed/daemon/store_follower.cc
+++ b/test/kingcupshed/daemon/store_follower.cc
@@ -293,6 +293,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(TargetWhoseResponseSaysThatItLeavesIsNotUsed) {
+  Vm& vm = AddVm();
+  RunUntil([&] { return HasAllData(vm); });
+  const int changes = vm.target_changes;
+  vm.follower.OnLeavingResponse("a-1");
+  BOOST_TEST(!vm.HasActiveTarget("a-1"));
+  BOOST_TEST(vm.target_changes > changes);
+  BOOST_TEST(HasEvent(vm, "target_leaving"));
+  PutHeartbeat("a-1", "ready", 1, 1000);
+  RunFor(std::chrono::seconds(1));
+  BOOST_TEST(!vm.HasActiveTarget("a-1"));
+  BOOST_TEST(vm.HasActiveTarget("a-2"));
+}
+
 // In a zone where many VMs were replaced, the VMs to poll no longer exist, so a
 // VM reads the targets itself. It used to read no routes until it had suspected
 // each of them (lestage-passerelle-grown hunt-613b-3).
--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -62,6 +62,32 @@
   BOOST_TEST(request.ends_with("payload"));
 }
 
+// A target says that it leaves in each of its responses, also in refusals and
+// failures; a response of another instance says nothing about the target.
+BOOST_AUTO_TEST_CASE(AnyResponseOfATargetCanSayThatItLeaves) {
+  const std::string leaving = "Server-Leaving: 1\r\n";
+  const auto with_mark = [&](std::string response) {
+    return response.insert(response.find("Request-Id"), leaving);
+  };
+  const std::string success =
+      "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+      "Content-Length: 4\r\n\r\nfine";
+  for (const std::string& response :
+       {success, RefusalResponse(503), ErrorResponse(500)}) {
+    RoutedServerRig rig(1);
+    rig.AddScriptedResponse({response});
+    (void)rig.Exchange(Post());
+    BOOST_TEST(rig.drain_marks().empty());
+    rig.AddScriptedResponse({with_mark(response)});
+    (void)rig.Exchange(Post("r2"));
+    BOOST_TEST(rig.drain_marks().size() == 1U, response);
+  }
+  RoutedServerRig rig(1);
+  rig.AddScriptedResponse({with_mark(RefusalResponse(421))});
+  (void)rig.Exchange(Post());
+  BOOST_TEST(rig.drain_marks().empty());
+}
+
 BOOST_AUTO_TEST_CASE(RefusesCallWithoutRoute) {
   RoutedServerRig rig(1);
   const std::string response =
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -134,6 +134,11 @@
     }
   }
 
+  /// Returns the targets whose responses carried their drain mark.
+  [[nodiscard]] const std::set<TargetId>& drain_marks() const {
+    return drain_marks_;
+  }
+
   /// Returns the number of requests whose connection ended while a target held
   /// their response.
   [[nodiscard]] std::size_t aborted_requests() const {
@@ -210,7 +215,7 @@
         [](ServiceId, Rank) -> const table::Row* { return nullptr; },
         [this](TargetId target) { return addresses_[target]; },
         [this](TargetId target) { return names_.NameOf(target); },
-        [](TargetId) {},
+        [this](TargetId target) { drain_marks_.insert(target); },
         [](std::string_view) { return std::optional<http::PageResponse>(); }};
     context.vm = "vm";
     context.header_scheme = &platform::PlatformHeaderScheme();
@@ -404,6 +409,7 @@
   std::set<asio::steady_timer*> held_responses_;
   bool responses_released_ = false;
   std::size_t aborted_requests_ = 0;
+  std::set<TargetId> drain_marks_;
   std::size_t endless_responses_ = 0;
   std::size_t endless_bytes_ = 0;
   http::SessionLimits limits_;
