Send nothing to a target that refused with Retry-After until its time is over

A target that refuses with 503 can say for how long it wants nothing from this VM. Now such a target is no candidate, not even where no other is left; the caller is refused at once and told when the first target takes calls again, within a third of its remaining time. Before: RefusingTargetGetsNothingUntilItsRetryAfterIsOver needs what is new.

--- a/src/kingcupshed/dispatch/events.h
+++ b/src/kingcupshed/dispatch/events.h
@@ -53,11 +53,18 @@
   kErrorResponse,
 };
 
+/// What the response of a target says about the calls that it wants.
+struct TargetNotice {
+  /// Time for which it wants no calls from this VM, if it refused one.
+  std::optional<Duration> retry_after{};
+};
+
 /// The header of an attempt's response arrived.
 struct ResponseStarted {
   CallId call{};
   AttemptId attempt{};
   std::optional<LoadReport> load;
+  TargetNotice notice{};
 };
 
 /// An attempt is over and no longer holds a slot.
@@ -68,6 +75,7 @@
   std::optional<LoadReport> load;
   /// Bytes of the request and the response on the wire; zero when not counted.
   std::uint64_t bytes = 0;
+  TargetNotice notice{};
 };
 
 /// The caller disconnected; the code that drives the scheduler cancels the
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -29,6 +29,8 @@
 constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMinNonSuccessStatus = 300;
 constexpr unsigned kMinServerErrorStatus = 500;
+/// Bound on `Retry-After`, so that it fits into a duration.
+constexpr double kMaxRetryAfterS = 3600.0;
 /// Margin after the caller's deadline before the connection times out; the call
 /// itself ends at the deadline.
 constexpr Duration kDeadlineMargin = std::chrono::seconds(1);
@@ -259,6 +261,7 @@
   load_ = header_scheme.parse_load(GetField(head, header_scheme.load));
   draining_ = !header_scheme.drain.empty() && !IsFromWrongInstance() &&
               !GetField(head, header_scheme.drain).empty();
+  ParseNotice();
   ParseKeepAlive();
   pool_.OnResponse(*lease_, Now());
   co_return ExchangeResult::kCompleted;
@@ -356,6 +359,22 @@
              : word == header_scheme.not_run_value;
 }
 
+/// Records what the target says about the calls that it wants.
+void Attempt::ParseNotice() {
+  notice_ = {};
+  if (IsFromWrongInstance()) {
+    return;
+  }
+  const auto& head = response_->get();
+  if (head.result() == beast::http::status::service_unavailable) {
+    const auto seconds = ParseDecimal(
+        GetField(head, to_string(beast::http::field::retry_after)));
+    if (seconds) {
+      notice_.retry_after = FromSeconds(std::min(*seconds, kMaxRetryAfterS));
+    }
+  }
+}
+
 /// Records how long the target keeps idle connections open.
 void Attempt::ParseKeepAlive() {
   constexpr std::string_view kTimeout = "timeout=";
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -68,6 +68,10 @@
   [[nodiscard]] const std::optional<LoadReport>& load() const noexcept {
     return load_;
   }
+  /// What the response said about the calls that the target wants.
+  [[nodiscard]] const dispatch::TargetNotice& notice() const noexcept {
+    return notice_;
+  }
   /// True when the response carried the target's drain mark.
   [[nodiscard]] bool draining() const noexcept { return draining_; }
   /// Parser that holds the response head and reads the rest of a long body.
@@ -105,6 +109,7 @@
   [[nodiscard]] bool IsFromWrongInstance() const;
   [[nodiscard]] bool ReportsNotRun() const;
   void ParseKeepAlive();
+  void ParseNotice();
   void RecordSent(std::size_t bytes);
 
   AttemptId id_;
@@ -117,6 +122,7 @@
   std::unique_ptr<ResponseParser> response_;
   std::string body_;
   std::optional<LoadReport> load_;
+  dispatch::TargetNotice notice_;
   std::uint64_t bytes_ = 0;
   bool draining_ = false;
   bool sent_ = false;
--- a/src/kingcupshed/http/internal/attempt_coordinator.cc
+++ b/src/kingcupshed/http/internal/attempt_coordinator.cc
@@ -163,7 +163,8 @@
       call_state_.OnResponse(finished.attempt)) {
     winner_ = &attempt;
     context_.driver.Post(
-        dispatch::ResponseStarted{call_, finished.attempt, attempt.load()});
+        dispatch::ResponseStarted{call_, finished.attempt, attempt.load(),
+                                  attempt.notice()});
     CancelRunningAttempts();
     return;
   }
@@ -184,11 +185,12 @@
 }
 
 void AttemptCoordinator::PostEnded(AttemptId id, AttemptResult result) {
-  dispatch::AttemptEnded ended{call_, id, result, std::nullopt, 0};
+  dispatch::AttemptEnded ended{call_, id, result, std::nullopt, 0, {}};
   const auto found = attempts_.find(id);
   if (found != attempts_.end()) {
     ended.load = found->second->load();
     ended.bytes = found->second->bytes();
+    ended.notice = found->second->notice();
     context_.on_ended(*found->second, result);
   }
   context_.driver.Post(ended);
--- a/src/kingcupshed/http/internal/message.cc
+++ b/src/kingcupshed/http/internal/message.cc
@@ -1,6 +1,7 @@
 #include "kingcupshed/http/internal/message.h"
 
 #include <charconv>
+#include <cmath>
 #include <vector>
 
 namespace kingcupshed::http {
@@ -32,6 +33,17 @@
   return number;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0.0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, number);
+  if (text.empty() || read.ec != std::errc() || read.ptr != end ||
+      !std::isfinite(number) || number < 0.0) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 std::optional<LoadReport> ParseLoad(std::string_view text) {
   LoadReport load;
   const auto read = [&](std::string_view name, std::uint32_t& value) {
--- a/src/kingcupshed/http/internal/message.h
+++ b/src/kingcupshed/http/internal/message.h
@@ -45,6 +45,10 @@
 /// Parses a decimal integer; returns nothing when the text is anything else.
 [[nodiscard]] std::optional<std::uint64_t> ParseNumber(std::string_view text);
 
+/// Parses a number that may have a fraction; returns nothing when the text is
+/// anything else, or the number is negative.
+[[nodiscard]] std::optional<double> ParseDecimal(std::string_view text);
+
 /// Parses the value of the load header, `in_flight=N;queued=N;slots=N`.
 [[nodiscard]] std::optional<LoadReport> ParseLoad(std::string_view text);
 
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -137,6 +137,7 @@
   call.response_started = true;
   ServiceOf(call).counters.response_times.Add(now_ - call.arrived);
   UpdateModels(call, attempt, AttemptResult::kCompleted);
+  HandleNotice(attempt.target, started.notice);
   if (started.load) {
     On(dispatch::LoadReported{attempt.target, *started.load, Duration::zero()});
   }
@@ -163,6 +164,9 @@
   if (!attempt.response_started || ended.result != AttemptResult::kCompleted) {
     UpdateModels(call, attempt, ended.result);
   }
+  if (!attempt.response_started) {
+    HandleNotice(attempt.target, ended.notice);
+  }
   if (ended.load && !attempt.response_started) {
     On(dispatch::LoadReported{attempt.target, *ended.load, Duration::zero()});
   }
@@ -227,6 +231,14 @@
   }
 }
 
+void Engine::HandleNotice(TargetId target,
+                          const dispatch::TargetNotice& notice) {
+  const auto found = targets_.find(target);
+  if (found != targets_.end() && notice.retry_after) {
+    found->second.OnRetryAfter(*notice.retry_after, now_);
+  }
+}
+
 void Engine::UpdateModels(const Call& call,
                           const Attempt& attempt,
                           AttemptResult result) {
--- a/src/kingcupshed/placement/internal/engine.h
+++ b/src/kingcupshed/placement/internal/engine.h
@@ -132,6 +132,10 @@
   void HandleProbeEnd(TargetId target);
   [[nodiscard]] bool NeedsProbes(const Call& call) const;
   [[nodiscard]] std::vector<Candidate> FindCandidates(const Call& call);
+  /// Returns how long it takes until a target of the call's service takes calls
+  /// again.
+  [[nodiscard]] Duration TimeUntilAvailable(const Call& call) const;
+  void HandleNotice(TargetId target, const dispatch::TargetNotice& notice);
   [[nodiscard]] std::size_t CountWarmTargets(ServiceState& service);
   void KeepPreferred(std::vector<Candidate>& candidates,
                      std::size_t count) const;
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -145,7 +145,7 @@
     const bool tried = std::any_of(
         call.attempts.begin(), call.attempts.end(),
         [id](const Attempt& attempt) { return attempt.target == id; });
-    if (tried) {
+    if (tried || target.available_from() > now_) {
       continue;
     }
     Candidate candidate;
@@ -165,6 +165,22 @@
   return candidates.empty() ? fallback : candidates;
 }
 
+Duration Engine::TimeUntilAvailable(const Call& call) const {
+  const auto service = services_.find(call.request.service);
+  Duration shortest = Duration::max();
+  for (const TargetId id : service->second.targets) {
+    shortest = std::min<Duration>(shortest,
+                                  targets_.at(id).available_from() - now_);
+  }
+  if (shortest == Duration::max() || shortest <= Duration::zero()) {
+    return kRetryAfterNoTarget;
+  }
+  return std::clamp<Duration>(
+      shortest, kMinRetryDelay,
+      std::max<Duration>(TimeToDeadline(call) / kMaxRetryDelayDivisor,
+                         kMinRetryDelay));
+}
+
 void Engine::StartRound(Call& call) {
   if (!NeedsProbes(call)) {
     Decide(call);
@@ -340,7 +356,7 @@
            call.may_have_run       ? RefuseReason::kOutcomeUnknown
            : call.attempts.empty() ? RefuseReason::kNoTarget
                                    : RefuseReason::kRefusedByTargets,
-           kRetryAfterNoTarget);
+           TimeUntilAvailable(call));
     return;
   }
   if (MeetsObjective(call, *best) && !WouldContend(call, *best) &&
--- a/src/kingcupshed/placement/target_model.cc
+++ b/src/kingcupshed/placement/target_model.cc
@@ -24,6 +24,10 @@
 constexpr Duration kInitialAvoidance = std::chrono::milliseconds(300);
 constexpr std::uint32_t kMaxAvoidanceDoublings = 4;
 
+/// Longest time that a target can keep a VM away: a nonsensical value must not
+/// lose the target for good.
+constexpr Duration kMaxRetryAfter = std::chrono::minutes(1);
+
 /// Returns the weight of information of a given age.
 double DecayWeight(Duration age, Duration time_constant) {
   return std::exp(-ToSeconds(age) / ToSeconds(time_constant));
@@ -83,6 +87,11 @@
   ++consecutive_unreachable_;
 }
 
+void TargetModel::OnRetryAfter(Duration retry_after, TimePoint now) noexcept {
+  unwanted_until_ =
+      std::max(unwanted_until_, now + std::min(retry_after, kMaxRetryAfter));
+}
+
 double TargetModel::failure_share(TimePoint now) const noexcept {
   const Duration age = now - failure_share_updated_;
   return failure_share_ *
--- a/src/kingcupshed/placement/target_model.h
+++ b/src/kingcupshed/placement/target_model.h
@@ -68,6 +68,14 @@
   /// time that doubles with each repetition.
   void OnUnreachable(TimePoint now) noexcept;
 
+  /// Records that the target wants no calls from this VM for a time.
+  void OnRetryAfter(Duration retry_after, TimePoint now) noexcept;
+
+  /// Returns when the target takes calls again; `now` or earlier if it does.
+  [[nodiscard]] TimePoint available_from() const noexcept {
+    return unwanted_until_;
+  }
+
   /// Predicts the outcome of one more call.
   /// @param work_time Usual work time of the call.
   [[nodiscard]] Estimate EstimateCall(const ServiceModel& service,
@@ -107,6 +115,8 @@
   double failure_share_ = 0.0;
   TimePoint failure_share_updated_{};
   TimePoint avoid_until_{};
+  /// Time until which the target wants no calls from this VM.
+  TimePoint unwanted_until_{};
   std::uint32_t consecutive_unreachable_ = 0;
 };
 
--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -62,6 +62,36 @@
   BOOST_TEST(request.ends_with("payload"));
 }
 
+// A target that refuses with `Retry-After` wants nothing from this VM for so
+// long; the caller is told when it takes calls again.
+BOOST_AUTO_TEST_CASE(RefusingTargetGetsNothingUntilItsRetryAfterIsOver) {
+  RoutedServerRig rig(1);
+  std::string refusal = RefusalResponse(503);
+  refusal.insert(refusal.find("Request-Id"), "Retry-After: 0.4\r\n");
+  rig.AddScriptedResponse({refusal});
+  (void)rig.Exchange(Post());
+  BOOST_REQUIRE_EQUAL(rig.requests().size(), 1U);
+  for (int call = 0; call < 5; ++call) {
+    const std::string response = rig.Exchange(Post("again"));
+    BOOST_TEST(StatusOf(response) == "503");
+    BOOST_TEST(Contains(response, "Retry-After: 0."));
+  }
+  BOOST_TEST(rig.requests().size() == 1U);
+  rig.RunFor(std::chrono::milliseconds(450));
+  BOOST_TEST(StatusOf(rig.Exchange(Post("later"))) == "200");
+}
+
+BOOST_AUTO_TEST_CASE(OtherTargetsServeWhileOneWantsNothing) {
+  RoutedServerRig rig(2);
+  std::string refusal = RefusalResponse(503);
+  refusal.insert(refusal.find("Request-Id"), "Retry-After: 5\r\n");
+  rig.AddScriptedResponse({refusal});
+  for (int call = 0; call < 10; ++call) {
+    BOOST_TEST(StatusOf(rig.Exchange(Get())) == "200");
+  }
+  BOOST_TEST(rig.requests().size() == 11U);
+}
+
 // A target says that it leaves in each of its responses, also in refusals and
 // failures; a response of another instance says nothing about the target.
 BOOST_AUTO_TEST_CASE(AnyResponseOfATargetCanSayThatItLeaves) {
--- a/test/kingcupshed/placement/target_model.cc
+++ b/test/kingcupshed/placement/target_model.cc
@@ -93,6 +93,18 @@
   BOOST_TEST(!target.is_avoided(kStart + milliseconds(900)));
 }
 
+BOOST_AUTO_TEST_CASE(RetryAfterLastsNoLongerThanAMinute) {
+  TargetModel target({});
+  const TimePoint now{std::chrono::seconds(100)};
+  BOOST_TEST((target.available_from() <= now));
+  target.OnRetryAfter(std::chrono::seconds(2), now);
+  BOOST_TEST((target.available_from() == now + std::chrono::seconds(2)));
+  target.OnRetryAfter(std::chrono::seconds(1), now);
+  BOOST_TEST((target.available_from() == now + std::chrono::seconds(2)));
+  target.OnRetryAfter(std::chrono::hours(5), now);
+  BOOST_TEST((target.available_from() == now + std::chrono::minutes(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::placement
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -127,6 +127,14 @@
     return response;
   }
 
+  /// Runs the event loop for a time.
+  void RunFor(Duration duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    while (std::chrono::steady_clock::now() < end) {
+      io_.run_one_until(end);
+    }
+  }
+
   /// Runs the event loop until a condition holds.
   void RunUntil(const std::function<bool()>& condition) {
     while (!condition()) {
