Share the limit that a target names between VMs

A target in need names the calls a second that it takes from all VMs together (Server-Limit). Now a VM that learns a limit sends no more than its share, and a caller whom no target takes is refused at once, with the time until one does. The VMs agree on who shares without a message: for each target all sort themselves in the same order, those of its zone first, and the first 2 x limit + 1.5 of them have an even part. The others try after a time whether the limit still holds, together less than once a second; a response that names none ends it. Why not credit::Ledger: it gives each VM an even part of max_vms. At 144 VMs and 3.7 calls/s that is a call in 39 s, so either a part never holds a whole call, or all VMs together can save 144 of them for one moment.

--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -22,6 +22,7 @@
 #include "kingcupshed/http/dispatch_driver.h"
 #include "kingcupshed/http/server.h"
 #include "kingcupshed/log/log.h"
+#include "kingcupshed/placement/limit_sharing.h"
 #include "kingcupshed/placement/placer.h"
 #include "kingcupshed/platform/header_scheme.h"
 #include "kingcupshed/platform/store.h"
@@ -99,6 +100,7 @@
                   {settings.vm, settings.zone, settings.peer_listen},
                   settings.first_start,
                   MakeStoreHooks()),
+        sharing_(settings.vm, settings.zone),
         server_(runtime_.io, MakeServerContext()),
         pages_server_(runtime_.io, MakePagesContext()),
         metrics_server_(runtime_.io, MakePagesContext()),
@@ -148,6 +150,7 @@
   std::map<RouteId, Duration> longest_remaining_times_;
   /// Number of VMs in the fleet, including this one.
   std::size_t fleet_size_ = 1;
+  placement::LimitSharing sharing_;
   http::Server server_;
   http::Server pages_server_;
   http::Server metrics_server_;
@@ -159,10 +162,15 @@
 StoreHooks RoutedVm::MakeStoreHooks() {
   return {[this](route::RouteTable table) { ActivateRoutes(std::move(table)); },
           [this] { UpdateTargets(); },
-          [this](std::size_t count) {
-            fleet_size_ = std::max<std::size_t>(1, count);
+          [this](const VmNamesByZone& others) {
+            fleet_size_ = 1;
+            for (const auto& [zone, vms] : others) {
+              fleet_size_ += vms.size();
+            }
+            sharing_.SetVms(others);
             placer_.SetFleetSize(fleet_size_);
             store_calls_.SetFleetSize(fleet_size_);
+            UpdateTargets();
           },
           [this](std::string kind, std::string detail) {
             events_.RecordEvent("store", std::move(kind), std::move(detail));
@@ -319,6 +327,7 @@
     properties.distance = DistanceOf(known.report.zone);
     properties.slots = known.report.slots;
     properties.warmup_end = known.received_at + known.report.warmup_remaining;
+    properties.sharing_rank = sharing_.RankFor(name, known.report.zone);
     targets.push_back(properties);
   }
   placer_.SetTargets(targets);
--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -253,10 +253,9 @@
 }
 
 void StoreFollower::RecordDeparture(const catalog::Departure& departure) {
-  hooks_.on_event("target_leaving",
-                  departure.name + SignText(departure.sign) +
-                      "; targets known to be complete " +
-                      AgeText(Content::kTargets) + " ago");
+  hooks_.on_event("target_leaving", departure.name + SignText(departure.sign) +
+                                        "; targets known to be complete " +
+                                        AgeText(Content::kTargets) + " ago");
 }
 
 /// Completes removals that were delayed to let targets register again.
@@ -313,8 +312,9 @@
 }
 
 void StoreFollower::OnVmsChanged() {
-  schedule_.SetVms(vms_.NamesByZone());
-  hooks_.on_vms(vms_.size());
+  const auto others = vms_.NamesByZone();
+  schedule_.SetVms(others);
+  hooks_.on_vms(others);
   ScheduleDrive();
 }
 
--- a/src/kingcupshed/daemon/store_follower.h
+++ b/src/kingcupshed/daemon/store_follower.h
@@ -27,8 +27,9 @@
   std::function<void(route::RouteTable)> on_routes;
   /// Called when the targets or their assumed state have changed.
   std::function<void()> on_targets;
-  /// Called when the number of known VMs, including this one, has changed.
-  std::function<void(std::size_t count)> on_vms;
+  /// Called when the known VMs have changed.
+  /// @param others Names of the other VMs by zone.
+  std::function<void(const VmNamesByZone& others)> on_vms;
   /// Called with an event for the log: the store or the VMs that are polled
   /// were lost or regained, routes came from somewhere, or data was invalid.
   std::function<void(std::string kind, std::string detail)> on_event;
--- a/src/kingcupshed/daemon/vm_directory.cc
+++ b/src/kingcupshed/daemon/vm_directory.cc
@@ -57,9 +57,8 @@
   on_change_();
 }
 
-std::map<std::string, std::vector<std::string>> VmDirectory::NamesByZone()
-    const {
-  std::map<std::string, std::vector<std::string>> zones;
+VmNamesByZone VmDirectory::NamesByZone() const {
+  VmNamesByZone zones;
   for (const auto& [name, endpoint] : others_) {
     zones[endpoint.zone].push_back(name);
   }
--- a/src/kingcupshed/daemon/vm_directory.h
+++ b/src/kingcupshed/daemon/vm_directory.h
@@ -12,6 +12,9 @@
 
 namespace kingcupshed::daemon {
 
+/// Names of VMs by availability zone.
+using VmNamesByZone = std::map<std::string, std::vector<std::string>>;
+
 /// Name and location of a VM.
 struct VmEndpoint {
   std::string vm;
@@ -45,8 +48,7 @@
     return others_;
   }
   /// Returns the names of the other VMs by zone.
-  [[nodiscard]] std::map<std::string, std::vector<std::string>> NamesByZone()
-      const;
+  [[nodiscard]] VmNamesByZone NamesByZone() const;
   /// Returns the number of known VMs, including this one.
   [[nodiscard]] std::size_t size() const noexcept { return others_.size() + 1; }
   /// Returns true once the list was read from the store.
--- a/src/kingcupshed/dispatch/events.h
+++ b/src/kingcupshed/dispatch/events.h
@@ -57,6 +57,11 @@
 struct TargetNotice {
   /// Time for which it wants no calls from this VM, if it refused one.
   std::optional<Duration> retry_after{};
+  /// Calls per second that it takes from all VMs together, if it limits them.
+  std::optional<double> calls_per_s{};
+  /// True if the response came from the target, so that a limit that it doesn't
+  /// name no longer holds.
+  bool known = false;
 };
 
 /// The header of an attempt's response arrived.
--- a/src/kingcupshed/http/header_scheme.h
+++ b/src/kingcupshed/http/header_scheme.h
@@ -18,6 +18,9 @@
   std::string_view load;
   /// Present in the responses of a target that is draining.
   std::string_view drain;
+  /// Calls per second that a target takes from all VMs together, a decimal
+  /// number; present while the target limits them.
+  std::string_view limit;
   /// Instance that the request is addressed to; other instances refuse it.
   std::string_view expected_instance;
   /// Instance that responded to a health check.
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -366,6 +366,11 @@
     return;
   }
   const auto& head = response_->get();
+  notice_.known = true;
+  if (!request_.header_scheme->limit.empty()) {
+    notice_.calls_per_s =
+        ParseDecimal(GetField(head, request_.header_scheme->limit));
+  }
   if (head.result() == beast::http::status::service_unavailable) {
     const auto seconds = ParseDecimal(
         GetField(head, to_string(beast::http::field::retry_after)));
--- a/src/kingcupshed/http/internal/attempt_coordinator.cc
+++ b/src/kingcupshed/http/internal/attempt_coordinator.cc
@@ -162,9 +162,8 @@
   if (finished.result == AttemptResult::kCompleted &&
       call_state_.OnResponse(finished.attempt)) {
     winner_ = &attempt;
-    context_.driver.Post(
-        dispatch::ResponseStarted{call_, finished.attempt, attempt.load(),
-                                  attempt.notice()});
+    context_.driver.Post(dispatch::ResponseStarted{
+        call_, finished.attempt, attempt.load(), attempt.notice()});
     CancelRunningAttempts();
     return;
   }
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -29,6 +29,9 @@
 /// Share of the probe limit that is used; the rest covers VMs that the others
 /// do not know of yet.
 constexpr double kUsedProbeShare = 0.75;
+/// Mean time between two calls, over all VMs, by which those without a share of
+/// a target's limit find that it is gone.
+constexpr Duration kLimitRetryInterval = std::chrono::milliseconds(1200);
 /// Weight of a new sample in the smoothed round trip.
 constexpr double kRoundTripSmoothing = 0.05;
 
@@ -234,7 +237,11 @@
 void Engine::HandleNotice(TargetId target,
                           const dispatch::TargetNotice& notice) {
   const auto found = targets_.find(target);
-  if (found != targets_.end() && notice.retry_after) {
+  if (found == targets_.end() || !notice.known) {
+    return;
+  }
+  found->second.OnLimit(notice.calls_per_s, vms_, kLimitRetryInterval, now_);
+  if (notice.retry_after) {
     found->second.OnRetryAfter(*notice.retry_after, now_);
   }
 }
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -145,7 +145,7 @@
     const bool tried = std::any_of(
         call.attempts.begin(), call.attempts.end(),
         [id](const Attempt& attempt) { return attempt.target == id; });
-    if (tried || target.available_from() > now_) {
+    if (tried || target.AvailableFrom(now_) > now_) {
       continue;
     }
     Candidate candidate;
@@ -170,7 +170,7 @@
   Duration shortest = Duration::max();
   for (const TargetId id : service->second.targets) {
     shortest = std::min<Duration>(shortest,
-                                  targets_.at(id).available_from() - now_);
+                                  targets_.at(id).AvailableFrom(now_) - now_);
   }
   if (shortest == Duration::max() || shortest <= Duration::zero()) {
     return kRetryAfterNoTarget;
--- a/src/kingcupshed/placement/target_model.cc
+++ b/src/kingcupshed/placement/target_model.cc
@@ -28,15 +28,38 @@
 /// lose the target for good.
 constexpr Duration kMaxRetryAfter = std::chrono::minutes(1);
 
+/// In four seconds a target may get half of its limit and five calls more than
+/// the limit. Of these, three are left to VMs that have no share.
+constexpr double kSendersPerCall = 2.0;
+constexpr double kMoreSenders = 1.5;
+
 /// Returns the weight of information of a given age.
 double DecayWeight(Duration age, Duration time_constant) {
   return std::exp(-ToSeconds(age) / ToSeconds(time_constant));
 }
 
+/// Returns the calls per second of a target's limit that one VM may send.
+///
+/// An even part for every VM of a large fleet would be less than one call in
+/// many seconds, and all of them together could still send one at the same
+/// moment. So only the first VMs share the limit: as many as may send one call
+/// each at the same moment beyond it, with the calls of VMs that try whether
+/// the limit still holds.
+double ShareOfLimit(double calls_per_s, std::size_t rank, std::size_t vms) {
+  const double senders =
+      std::clamp(std::floor(kSendersPerCall * calls_per_s + kMoreSenders), 1.0,
+                 static_cast<double>(std::max<std::size_t>(1, vms)));
+  return static_cast<double>(rank) < senders ? calls_per_s / senders : 0.0;
+}
+
 }  // namespace
 
 void TargetModel::OnAttemptStarted(TimePoint now) {
   attempt_starts_.push_back(now);
+  if (limit_) {
+    limit_->bucket.Advance(now);
+    limit_->bucket.Spend(1.0);
+  }
 }
 
 void TargetModel::OnAttemptEnded(TimePoint started) {
@@ -92,6 +115,40 @@
       std::max(unwanted_until_, now + std::min(retry_after, kMaxRetryAfter));
 }
 
+void TargetModel::OnLimit(std::optional<double> calls_per_s,
+                          std::size_t vms,
+                          Duration retry_interval,
+                          TimePoint now) noexcept {
+  if (!calls_per_s) {
+    limit_.reset();
+    return;
+  }
+  const std::size_t rank = properties_.sharing_rank;
+  const double share = ShareOfLimit(*calls_per_s, rank, vms);
+  if (!limit_) {
+    limit_.emplace();
+    limit_->bucket = TokenBucket(share, 1.0, 0.0);
+  }
+  limit_->bucket.Advance(now);
+  limit_->bucket.Configure(share, 1.0);
+  // VMs that learn the limit together don't forget it together.
+  limit_->until = now + retry_interval * static_cast<int>(vms + rank + 1);
+}
+
+TimePoint TargetModel::AvailableFrom(TimePoint now) const noexcept {
+  if (!limit_ || limit_->until <= now) {
+    return unwanted_until_;
+  }
+  if (limit_->bucket.rate() <= 0.0) {
+    return std::max(unwanted_until_, limit_->until);
+  }
+  TokenBucket bucket = limit_->bucket;
+  bucket.Advance(now);
+  const Duration wait = bucket.TimeUntil(1.0);
+  return wait > Duration::zero() ? std::max(unwanted_until_, now + wait)
+                                 : unwanted_until_;
+}
+
 double TargetModel::failure_share(TimePoint now) const noexcept {
   const Duration age = now - failure_share_updated_;
   return failure_share_ *
--- a/src/kingcupshed/placement/target_model.h
+++ b/src/kingcupshed/placement/target_model.h
@@ -7,6 +7,7 @@
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/core/load_report.h"
 #include "kingcupshed/core/time.h"
+#include "kingcupshed/core/token_bucket.h"
 #include "kingcupshed/placement/service_model.h"
 #include "kingcupshed/routing/view.h"
 
@@ -20,6 +21,9 @@
   std::uint32_t slots = 1;
   /// Time until which the target is slow after its start.
   TimePoint warmup_end{};
+  /// Position of this VM among those that share a limit that the target names
+  /// for all VMs together (`LimitSharing`).
+  std::size_t sharing_rank = 0;
 };
 
 /// Prediction for one more call at a target.
@@ -71,10 +75,22 @@
   /// Records that the target wants no calls from this VM for a time.
   void OnRetryAfter(Duration retry_after, TimePoint now) noexcept;
 
-  /// Returns when the target takes calls again; `now` or earlier if it does.
-  [[nodiscard]] TimePoint available_from() const noexcept {
-    return unwanted_until_;
-  }
+  /// Records the calls per second that the target takes from all VMs together,
+  /// or that it doesn't limit them.
+  /// @param calls_per_s The limit, if there is one.
+  /// @param vms Number of VMs of the fleet.
+  /// @param retry_interval Mean time between two calls by which VMs that have
+  /// no
+  ///   share of the limit try whether it still holds.
+  void OnLimit(std::optional<double> calls_per_s,
+               std::size_t vms,
+               Duration retry_interval,
+               TimePoint now) noexcept;
+
+  /// Returns when the target takes another call of this VM; `now` or earlier if
+  /// it does. Not before the target's time to retry after a refusal, nor beyond
+  /// this VM's share of the target's limit.
+  [[nodiscard]] TimePoint AvailableFrom(TimePoint now) const noexcept;
 
   /// Predicts the outcome of one more call.
   /// @param work_time Usual work time of the call.
@@ -103,6 +119,13 @@
   [[nodiscard]] TimePoint report_time() const noexcept { return report_time_; }
 
  private:
+  /// This VM's share of the limit that the target names.
+  struct LimitShare {
+    TokenBucket bucket;
+    /// End of the limit unless another response names it.
+    TimePoint until{};
+  };
+
   /// Returns the smoothed relative work time, which decays to one.
   [[nodiscard]] double RelativeWorkTime(TimePoint now) const noexcept;
 
@@ -117,6 +140,7 @@
   TimePoint avoid_until_{};
   /// Time until which the target wants no calls from this VM.
   TimePoint unwanted_until_{};
+  std::optional<LimitShare> limit_;
   std::uint32_t consecutive_unreachable_ = 0;
 };
 
--- a/src/kingcupshed/platform/header_scheme.cc
+++ b/src/kingcupshed/platform/header_scheme.cc
@@ -47,6 +47,7 @@
     header_scheme.deadline = "Deadline-Ms";
     header_scheme.load = "Server-Load";
     header_scheme.drain = "Server-Leaving";
+    header_scheme.limit = "Server-Limit";
     header_scheme.expected_instance = "Expect-Instance";
     header_scheme.instance = "Instance-Id";
     header_scheme.response_stamp = "Response-Stamp";
--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -92,6 +92,27 @@
   BOOST_TEST(rig.requests().size() == 11U);
 }
 
+// A target in need names the calls per second that it takes from all VMs.
+BOOST_AUTO_TEST_CASE(TargetGetsNoMoreCallsThanTheLimitThatItNames) {
+  RoutedServerRig rig(1);
+  const auto response = [](const std::string& fields) {
+    return "HTTP/1.1 200 OK\r\n" + fields +
+           "Request-Id: {id}\r\nResponse-Stamp: s\r\n"
+           "Content-Length: 4\r\n\r\nfine";
+  };
+  rig.AddScriptedResponse({response("Server-Limit: 1.5\r\n")});
+  BOOST_TEST(StatusOf(rig.Exchange(Post())) == "200");
+  for (int call = 0; call < 5; ++call) {
+    BOOST_TEST(StatusOf(rig.Exchange(Post("again"))) == "503");
+  }
+  BOOST_TEST(rig.requests().size() == 1U);
+  rig.AddScriptedResponse({response("")});
+  rig.RunFor(std::chrono::milliseconds(800));
+  for (int call = 0; call < 5; ++call) {
+    BOOST_TEST(StatusOf(rig.Exchange(Post("later"))) == "200");
+  }
+}
+
 // A target says that it leaves in each of its responses, also in refusals and
 // failures; a response of another instance says nothing about the target.
 BOOST_AUTO_TEST_CASE(AnyResponseOfATargetCanSayThatItLeaves) {
--- a/test/kingcupshed/placement/target_model.cc
+++ b/test/kingcupshed/placement/target_model.cc
@@ -96,13 +96,13 @@
 BOOST_AUTO_TEST_CASE(RetryAfterLastsNoLongerThanAMinute) {
   TargetModel target({});
   const TimePoint now{std::chrono::seconds(100)};
-  BOOST_TEST((target.available_from() <= now));
+  BOOST_TEST((target.AvailableFrom(now) <= now));
   target.OnRetryAfter(std::chrono::seconds(2), now);
-  BOOST_TEST((target.available_from() == now + std::chrono::seconds(2)));
+  BOOST_TEST((target.AvailableFrom(now) == now + std::chrono::seconds(2)));
   target.OnRetryAfter(std::chrono::seconds(1), now);
-  BOOST_TEST((target.available_from() == now + std::chrono::seconds(2)));
+  BOOST_TEST((target.AvailableFrom(now) == now + std::chrono::seconds(2)));
   target.OnRetryAfter(std::chrono::hours(5), now);
-  BOOST_TEST((target.available_from() == now + std::chrono::minutes(1)));
+  BOOST_TEST((target.AvailableFrom(now) == now + std::chrono::minutes(1)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/store_rig.h
+++ b/test/support/store_rig.h
@@ -54,7 +54,12 @@
                   on_targets();
                 }
               },
-              [this](std::size_t count) { fleet_size = count; },
+              [this](const daemon::VmNamesByZone& others) {
+                fleet_size = 1;
+                for (const auto& [other_zone, vms] : others) {
+                  fleet_size += vms.size();
+                }
+              },
               [this](std::string kind, const std::string&) {
                 events.push_back(std::move(kind));
               }};
