--- a/src/kingcupshed/daemon/peer_exchange.cc
+++ b/src/kingcupshed/daemon/peer_exchange.cc
@@ -145,7 +145,7 @@
                               AtAge(request.targets_age_ms(), now));
   }
   const auto wait = std::min<Duration>(
-      std::chrono::milliseconds(request.wait_ms()), kMaxWait);
+      std::chrono::milliseconds(request.max_hold_ms()), kMaxWait);
   held_polls_[next_id_] = poll;
   held_.Add(next_id_, requester, now + wait);
   ++next_id_;
@@ -198,7 +198,7 @@
   request.set_routes_version(
       std::max(routes_.version(), reported.routes_version));
   request.set_vms_known(vms_.others().size());
-  request.set_wait_ms(
+  request.set_max_hold_ms(
       static_cast<std::uint32_t>(poll.wait / std::chrono::milliseconds(1)));
   // The other VM responds when it has more than this VM has, and more than it
   // reported before; the routes that it reported can still be on their way.
--- a/src/kingcupshed/daemon/placement_metrics.cc
+++ b/src/kingcupshed/daemon/placement_metrics.cc
@@ -68,7 +68,8 @@
 
 std::string RenderPlacementMetrics(
     const Runtime& runtime,
-    const std::map<ServiceId, ServiceCounters>& counters) {
+    const std::map<ServiceId, ServiceCounters>& counters,
+    const CopyAges& copy_ages) {
   metrics::PrometheusPage page;
   for (const CounterMetric& metric : kCounterMetrics) {
     for (const auto& [service, counted] : counters) {
@@ -91,6 +92,12 @@
                         counted.*metric.member);
     }
   }
+  for (const propagation::Content content : propagation::kContents) {
+    const bool routes = content == propagation::Content::kRoutes;
+    page.AddHistogram("kingcupshed_copy_age_seconds",
+                      {{"content", routes ? "routes" : "targets"}},
+                      copy_ages[static_cast<std::size_t>(content)]);
+  }
   return page.text();
 }
 
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -225,7 +225,8 @@
   if (path == "/metrics") {
     return http::PageResponse{
         200, "text/plain; version=0.0.4",
-        RenderPlacementMetrics(runtime_, placer_.ReadCounters())};
+        RenderPlacementMetrics(runtime_, placer_.ReadCounters(),
+                               follower_.copy_ages())};
   }
   if (path == "/readyz") {
     return stop_driver_.IsReady(can_serve())
