--- a/src/kingcupshed/propagation/document_fetch.cc
+++ b/src/kingcupshed/propagation/document_fetch.cc
@@ -8,10 +8,10 @@
 
 using std::chrono::milliseconds;
 
-/// Time after which a second VM is asked while the first fetch goes on.
+/// Time after which the document is also requested from a second VM.
 constexpr Duration kSecondFetchDelay = milliseconds(500);
 constexpr std::size_t kMaxFetches = 2;
-/// Mean pause before the next VM is asked.
+/// Mean pause between two requests.
 constexpr Duration kPause = milliseconds(50);
 
 /// Rate at which documents are sent, in bytes per second: less than the
--- a/src/kingcupshed/propagation/schedule.cc
+++ b/src/kingcupshed/propagation/schedule.cc
@@ -22,7 +22,7 @@
 constexpr Duration kHeadDelay = milliseconds(150);
 /// Age of a copy at which a VM that is no head reads the store itself, and the
 /// further age for each VM before it in its zone. Few VMs then read when the
-/// store comes back after an outage.
+/// store recovers from an outage.
 constexpr Duration kOwnReadAge = milliseconds(1300);
 constexpr Duration kOwnReadDelay = milliseconds(400);
 /// Time without a response of any VM after which the other VMs are assumed not
--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -63,7 +63,7 @@
 }
 
 // A target that refuses with `Retry-After` wants nothing from this VM for so
-// long; the caller is told when it takes calls again.
+// long; callers are refused with the time that is left.
 BOOST_AUTO_TEST_CASE(RefusingTargetGetsNothingUntilItsRetryAfterIsOver) {
   RoutedServerRig rig(1);
   std::string refusal = RefusalResponse(503);
