--- a/src/kingcupshed/propagation/held_requests.cc
+++ b/src/kingcupshed/propagation/held_requests.cc
@@ -18,7 +18,7 @@
   return own && (!known || *own >= *known + kMinProgress);
 }
 
-bool HasNews(const RequesterState& requester, const ProviderState& provider) {
+bool HasUpdate(const RequesterState& requester, const ProviderState& provider) {
   return provider.routes_version > requester.routes_version ||
          provider.targets_changed_to > requester.targets_known_to ||
          provider.targets_complete_since > requester.targets_known_to ||
@@ -39,7 +39,8 @@
   std::vector<Id> due;
   const bool has_data = provider.current.Earliest().has_value();
   for (const auto& [id, held] : held_) {
-    if (held.until <= now || (has_data && HasNews(held.requester, provider))) {
+    if (held.until <= now ||
+        (has_data && HasUpdate(held.requester, provider))) {
       due.push_back(id);
     }
   }
