Give up attempts that their target doesn't have

What callers saw: on services whose targets never respond when their queue is full, an at-most-once call hung until its deadline, and the VM counted it as work at that target meanwhile; a target that was merely full was avoided like a failing one.

A load report that shows fewer calls than this VM has sent proves that some are not there. When a second report 250 ms later still does, the attempt is cancelled: an idempotent call is tried elsewhere within the retry budget, an at-most-once call ends with an unknown outcome. Silent attempts are checked by probes. Losses at targets with a queue are no failures; they teach the VM that the service drops calls, and from then on it leaves room in their queues.

The model has targets that are silent when full. NeverHedgesAtMostOnceCalls now lets the target report the call that it runs: a target without it contradicted the test's own premise.

--- a/src/kingcupshed/daemon/event_log.cc
+++ b/src/kingcupshed/daemon/event_log.cc
@@ -18,6 +18,18 @@
 /// Number of call names kept for decisions that follow the start of the call.
 constexpr std::size_t kMaxCallNames = 4096;
 
+const char* KindOf(placement::DecisionType type) {
+  switch (type) {
+    case placement::DecisionType::kPlaced:
+      return "call_placed";
+    case placement::DecisionType::kAttemptDropped:
+      return "attempt_dropped";
+    case placement::DecisionType::kRefused:
+      break;
+  }
+  return "call_not_placed";
+}
+
 std::string DecisionDetail(const placement::Decision& decision) {
   std::array<char, 320> text{};
   std::snprintf(
@@ -69,7 +81,7 @@
 void EventLog::RecordDecision(const placement::Decision& decision) {
   timeline::Event event;
   event.part = "placement";
-  event.kind = decision.target ? "call_placed" : "call_not_placed";
+  event.kind = KindOf(decision.type);
   const auto name = call_names_.find(decision.call);
   event.call = name == call_names_.end() ? "" : name->second;
   event.service = runtime_.services.NameOf(decision.service);
--- a/src/kingcupshed/daemon/placement_metrics.cc
+++ b/src/kingcupshed/daemon/placement_metrics.cc
@@ -25,6 +25,8 @@
                   &ServiceCounters::attempts_started},
     CounterMetric{"kingcupshed_repeats_total",
                   &ServiceCounters::extra_attempts},
+    CounterMetric{"kingcupshed_attempts_dropped_total",
+                  &ServiceCounters::dropped_attempts},
     CounterMetric{"kingcupshed_probes_total", &ServiceCounters::probes}};
 
 struct HistogramMetric {
--- a/src/kingcupshed/daemon/routed_vm.cc
+++ b/src/kingcupshed/daemon/routed_vm.cc
@@ -398,6 +398,7 @@
            << " answered=" << counted.completed
            << " refused=" << counted.refused
            << " repeats=" << counted.extra_attempts
+           << " dropped=" << counted.dropped_attempts
            << " probes=" << counted.probes << " waiting=" << counted.waiting
            << " work_ms=" << ToMilliseconds(counted.longest_work)
            << " crowding=" << counted.contention
--- a/src/kingcupshed/model/outcome.cc
+++ b/src/kingcupshed/model/outcome.cc
@@ -257,15 +257,17 @@
       entry["seconds"] = std::move(seconds);
       loads.push_back(std::move(entry));
     }
-    list.push_back(json::object{{"policy", outcome.policy},
-                                {"seed", outcome.seed},
-                                {"worth", outcome.Worth()},
-                                {"worst_windows", outcome.WorstWindows()},
-                                {"attempts", outcome.attempts},
-                                {"repeats", outcome.repeats},
-                                {"probes", outcome.probes},
-                                {"targets", outcome.targets},
-                                {"loads", std::move(loads)}});
+    list.push_back(
+        json::object{{"policy", outcome.policy},
+                     {"seed", outcome.seed},
+                     {"worth", outcome.Worth()},
+                     {"worst_windows", outcome.WorstWindows()},
+                     {"attempts", outcome.attempts},
+                     {"repeats", outcome.repeats},
+                     {"unanswered_attempts", outcome.unanswered_attempts},
+                     {"probes", outcome.probes},
+                     {"targets", outcome.targets},
+                     {"loads", std::move(loads)}});
   }
   return json::serialize(json::object{{"outcomes", std::move(list)}}) + "\n";
 }
@@ -282,7 +284,8 @@
     text += Row(outcome, "all", outcome.Total());
     text += "  worst windows " + Percent(outcome.WorstWindows()) +
             ", attempts " + std::to_string(outcome.attempts) + ", repeats " +
-            std::to_string(outcome.repeats) + ", probes " +
+            std::to_string(outcome.repeats) + ", unanswered " +
+            std::to_string(outcome.unanswered_attempts) + ", probes " +
             std::to_string(outcome.probes) + "\n";
   }
   return text;
--- a/src/kingcupshed/model/outcome.h
+++ b/src/kingcupshed/model/outcome.h
@@ -92,6 +92,8 @@
   std::string policy;
   std::uint64_t seed = 0;
   std::vector<LoadOutcome> loads;
+  /// Attempts that reached a target that was full and never responds then.
+  std::uint64_t unanswered_attempts = 0;
   /// Attempts at targets, `repeats` included.
   std::uint64_t attempts = 0;
   std::uint64_t probes = 0;
--- a/src/kingcupshed/model/scenario.cc
+++ b/src/kingcupshed/model/scenario.cc
@@ -203,6 +203,7 @@
   ReadCounts(reader, "targets", scenario, service.targets);
   reader.Count("slots", service.slots);
   reader.Count("queue", service.queue_limit);
+  reader.Flag("silent_when_full", service.silent_when_full);
   reader.Object("noise", [&](Reader noise) {
     noise.Number("share", service.noise.share, 0.0);
     noise.Number("factor", service.noise.factor, 1.0);
@@ -289,6 +290,12 @@
     });
   });
   ReadCounts(reader, "vms", scenario, scenario.vms);
+  ReadCounts(reader, "callers", scenario, scenario.callers);
+  for (const auto& [zone, count] : scenario.callers) {
+    if (count > 0 && scenario.vms.count(zone) == 0) {
+      reader.Fail("callers", "the availability zone " + zone + " has no VMs");
+    }
+  }
   reader.Object("delay_ms",
                 [&](Reader delays) { ReadDelays(delays, scenario.delays); });
   reader.List("services", [&](Reader service) {
--- a/src/kingcupshed/model/scenario.h
+++ b/src/kingcupshed/model/scenario.h
@@ -33,6 +33,9 @@
   std::uint32_t slots = 1;
   /// Calls that may wait at a target; it refuses further ones.
   std::uint32_t queue_limit = 0;
+  /// True if the target never responds to a call that it can't queue, instead
+  /// of refusing it.
+  bool silent_when_full = false;
   Noise noise;
   /// Fraction of busy slots above which work that starts takes
   /// `crowding_factor` times as long.
@@ -116,6 +119,9 @@
   std::map<std::string, std::string> zones;
   /// Number of VMs in each availability zone.
   std::map<std::string, std::uint32_t> vms;
+  /// Callers of each availability zone, in proportion to each other; even when
+  /// empty.
+  std::map<std::string, std::uint32_t> callers;
   Delays delays;
   std::vector<ServiceScenario> services;
   std::vector<LoadScenario> loads;
--- a/src/kingcupshed/model/simulated_target.cc
+++ b/src/kingcupshed/model/simulated_target.cc
@@ -38,13 +38,16 @@
                     [this] { RedrawNoise(); });
 }
 
-bool SimulatedTarget::Submit(std::uint64_t id,
-                             Duration size,
-                             CompletionHandler on_complete) {
+Submission SimulatedTarget::Submit(std::uint64_t id,
+                                   Duration size,
+                                   CompletionHandler on_complete) {
   const bool full = running_.size() >= service_.slots &&
                     queue_.size() >= service_.queue_limit;
+  if (full && !down_ && service_.silent_when_full) {
+    return Submission::kUnanswered;
+  }
   if (down_ || full || random_.Unit() < refused_share_) {
-    return false;
+    return Submission::kRefused;
   }
   Work work{id, size, clock_.now(), std::move(on_complete)};
   if (running_.size() < service_.slots) {
@@ -52,7 +55,7 @@
   } else {
     queue_.push_back(std::move(work));
   }
-  return true;
+  return Submission::kAccepted;
 }
 
 double SimulatedTarget::CurrentSlowdown() const {
--- a/src/kingcupshed/model/simulated_target.h
+++ b/src/kingcupshed/model/simulated_target.h
@@ -31,6 +31,15 @@
   TimePoint now_{};
 };
 
+/// What a target does with work that reaches it.
+enum class Submission : std::uint8_t {
+  kAccepted,
+  /// The target says that it doesn't run the work.
+  kRefused,
+  /// The target never responds, and doesn't run the work.
+  kUnanswered,
+};
+
 /// Timing of completed work, used to attribute lost worth to causes.
 struct WorkTimes {
   Duration queue_time{};
@@ -52,11 +61,11 @@
 
   /// Starts or queues work.
   /// @param size Time that the work needs on an idle target.
-  /// @return False when the target refuses: slots and queue are full, it is
-  ///   down, or it refuses a share of its work.
-  [[nodiscard]] bool Submit(std::uint64_t id,
-                            Duration size,
-                            CompletionHandler on_complete);
+  /// @return Not accepted when slots and queue are full, the target is down, or
+  ///   it refuses a share of its work.
+  [[nodiscard]] Submission Submit(std::uint64_t id,
+                                  Duration size,
+                                  CompletionHandler on_complete);
 
   /// Cancels work whose connection closed; has no effect on completed work.
   void Cancel(std::uint64_t id);
--- a/src/kingcupshed/model/simulation.cc
+++ b/src/kingcupshed/model/simulation.cc
@@ -247,6 +247,28 @@
   }
 }
 
+/// Draws the availability zone of a caller.
+std::string Simulation::DrawZone() {
+  if (scenario_.callers.empty()) {
+    return std::next(
+               scenario_.vms.begin(),
+               static_cast<std::ptrdiff_t>(random_.Below(scenario_.vms.size())))
+        ->first;
+  }
+  std::uint64_t callers = 0;
+  for (const auto& [zone, count] : scenario_.callers) {
+    callers += count;
+  }
+  std::uint64_t drawn = random_.Below(callers);
+  for (const auto& [zone, count] : scenario_.callers) {
+    if (drawn < count) {
+      return zone;
+    }
+    drawn -= count;
+  }
+  return scenario_.callers.rbegin()->first;
+}
+
 /// Adds a caller of a load, sends its first request, and schedules the arrival
 /// of the load's next caller.
 void Simulation::AddCaller(std::size_t load_index, const std::string& zone) {
@@ -266,14 +288,12 @@
   ++counts.offered;
   counts.offered_worth += load.worth;
   SendRequest(id);
-  const auto next_zone = std::next(
-      scenario_.vms.begin(),
-      static_cast<std::ptrdiff_t>(random_.Below(scenario_.vms.size())));
+  const std::string next_zone = DrawZone();
   // Exponential gaps between arrivals make a Poisson process.
   const Duration gap = FromSeconds(-std::log(1.0 - random_.Unit()) / rate);
-  clock_.ScheduleAt(
-      clock_.now() + gap,
-      [this, load_index, to = next_zone->first] { AddCaller(load_index, to); });
+  clock_.ScheduleAt(clock_.now() + gap, [this, load_index, next_zone] {
+    AddCaller(load_index, next_zone);
+  });
 }
 
 /// Sends a caller's work as a new call to a random VM of its availability zone.
@@ -392,13 +412,15 @@
     });
     return;
   }
-  const bool accepted = sim.Submit(
+  const Submission submission = sim.Submit(
       ToIndex(call), found->second.size, [=, this](const WorkTimes& times) {
         clock_.ScheduleAt(clock_.now() + return_delay, [=, this] {
           EndAttempt(vm, call, attempt, AttemptResult::kCompleted, times);
         });
       });
-  if (!accepted) {
+  if (submission == Submission::kUnanswered) {
+    ++outcome_.unanswered_attempts;
+  } else if (submission == Submission::kRefused) {
     clock_.ScheduleAt(clock_.now() + return_delay, [=, this] {
       EndAttempt(vm, call, attempt, AttemptResult::kRefused, {});
     });
--- a/src/kingcupshed/model/simulation.h
+++ b/src/kingcupshed/model/simulation.h
@@ -70,6 +70,7 @@
   void AddVms(std::string_view policy);
   void ScheduleDisturbances();
   void ScheduleArrivals();
+  [[nodiscard]] std::string DrawZone();
   void AddCaller(std::size_t load_index, const std::string& zone);
   void SendRequest(std::uint64_t caller_id);
   void NotifyVm(std::size_t vm, const dispatch::Event& event);
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -1,5 +1,6 @@
-// Configuration, events, and the results of attempts. The search for a target
-// is in search.cc.
+// Configuration and events. The search for a target is in search.cc, what
+// follows from the result of an attempt in results.cc, and from the lack of one
+// in silence.cc.
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -13,25 +14,9 @@
 
 namespace {
 
-/// Attempts that may fail to reach a target before a call is refused.
-constexpr std::uint32_t kMaxUnreachableAttempts = 3;
-/// Weight of an indication of failure: a refusal, or an attempt that was
-/// cancelled without a response because another target responded or time ran
-/// out. Neither proves that the target is unhealthy.
-constexpr double kIndicationWeight = 0.5;
-/// A cancelled attempt counts against its target once it took longer than this
-/// multiple of the expected latency.
-constexpr int kCancelledUnresponsiveFactor = 3;
-constexpr std::uint32_t kDefaultMaxAttempts = 2;
-/// Share of the retry budget that is reserved for callers that have already
-/// retried and can't do so once more.
-constexpr double kReserveForCallerRetries = 0.5;
 /// Share of the probe limit that is used; the rest covers VMs that the others
 /// do not know of yet.
 constexpr double kUsedProbeShare = 0.75;
-/// Mean time between two calls, over all VMs, by which those without a share of
-/// a target's limit find that it is gone.
-constexpr Duration kLimitRetryInterval = std::chrono::milliseconds(1200);
 /// Weight of a new sample in the smoothed round trip.
 constexpr double kRoundTripSmoothing = 0.05;
 
@@ -160,12 +145,16 @@
     return;
   }
   attempt.running = false;
+  const AttemptResult result =
+      attempt.lost && ended.result == AttemptResult::kCancelled
+          ? AttemptResult::kLost
+          : ended.result;
   const auto target = targets_.find(attempt.target);
   if (target != targets_.end()) {
     target->second.OnAttemptEnded(attempt.started);
   }
-  if (!attempt.response_started || ended.result != AttemptResult::kCompleted) {
-    UpdateModels(call, attempt, ended.result);
+  if (!attempt.response_started || result != AttemptResult::kCompleted) {
+    UpdateModels(call, attempt, result);
   }
   if (!attempt.response_started) {
     HandleNotice(attempt.target, ended.notice);
@@ -173,7 +162,7 @@
   if (ended.load && !attempt.response_started) {
     On(dispatch::LoadReported{attempt.target, *ended.load, Duration::zero()});
   }
-  HandleAttemptEnd(call, ended.result);
+  HandleAttemptEnd(call, result);
 }
 
 void Engine::On(const dispatch::CallAbandoned& abandoned) {
@@ -191,6 +180,8 @@
     service.reports_load = reported.load.slots > 0;
     if (service.reports_load) {
       target.OnReport(reported.load, now_);
+      target.CheckDelivery(RoundTripTo(target), now_);
+      service.model.AddQueue(reported.load.queued);
       service.model.AddLoad(reported.load.in_flight + reported.load.queued,
                             reported.load.slowdown);
     }
@@ -201,6 +192,7 @@
                               ToSeconds(reported.round_trip - smoothed));
     }
   }
+  EndLostAttempts(reported.target);
   HandleProbeEnd(reported.target);
 }
 
@@ -228,135 +220,12 @@
         StartSearch(call);
         break;
       case WaitReason::kNone:
-        TryHedge(call);
+        HandleSilence(call);
         break;
     }
   }
 }
 
-void Engine::HandleNotice(TargetId target,
-                          const dispatch::TargetNotice& notice) {
-  const auto found = targets_.find(target);
-  if (found == targets_.end() || !notice.known) {
-    return;
-  }
-  found->second.OnLimit(notice.calls_per_s, vms_, kLimitRetryInterval, now_);
-  if (notice.retry_after) {
-    found->second.OnRetryAfter(*notice.retry_after, now_);
-  }
-}
-
-void Engine::UpdateModels(const Call& call,
-                          const Attempt& attempt,
-                          AttemptResult result) {
-  const auto found = targets_.find(attempt.target);
-  if (found == targets_.end()) {
-    return;
-  }
-  TargetModel& target = found->second;
-  const Duration latency = now_ - attempt.started;
-  switch (result) {
-    case AttemptResult::kCompleted: {
-      const Duration work_time = latency - RoundTripTo(target);
-      ServiceState& service = services_[call.request.service];
-      target.OnSuccess(now_);
-      target.OnWorkTime(ToSeconds(work_time) / ToSeconds(WorkTimeOf(call)),
-                        now_);
-      const bool load_known = attempt.slowdown > 0.0 || !service.reports_load;
-      if (load_known && !attempt.queued_at_target &&
-          work_time > Duration::zero()) {
-        service.model.AddWorkTime(call.request.route, work_time,
-                                  std::max(1.0, attempt.slowdown),
-                                  attempt.last_slot);
-      }
-      return;
-    }
-    case AttemptResult::kErrorResponse:
-    case AttemptResult::kLost:
-      target.OnFailure(now_, 1.0);
-      return;
-    case AttemptResult::kRefused:
-      target.OnFailure(now_, kIndicationWeight);
-      return;
-    case AttemptResult::kNotSent:
-      target.OnUnreachable(now_);
-      return;
-    case AttemptResult::kCancelled:
-      if (!attempt.response_started &&
-          latency > kCancelledUnresponsiveFactor * attempt.expected_latency) {
-        target.OnFailure(now_, kIndicationWeight);
-      }
-      return;
-  }
-}
-
-void Engine::HandleAttemptEnd(Call& call, AttemptResult result) {
-  if (result == AttemptResult::kLost ||
-      result == AttemptResult::kErrorResponse ||
-      result == AttemptResult::kCancelled) {
-    call.may_have_run = true;
-  }
-  if (call.finished || call.response_started) {
-    if (call.running() == 0) {
-      if (result == AttemptResult::kCompleted) {
-        ++ServiceOf(call).counters.completed;
-      }
-      Finish(call);
-    }
-    return;
-  }
-  if (result == AttemptResult::kCompleted) {
-    ++ServiceOf(call).counters.completed;
-    Finish(call);
-    return;
-  }
-  if (call.running() > 0 || call.wait_reason != WaitReason::kNone) {
-    // Another attempt is running, or a target for one is being searched for.
-    call.hedging = call.running() > 0;
-    return;
-  }
-  call.hedging = false;
-  if (result == AttemptResult::kNotSent &&
-      ++call.unreachable_attempts <= kMaxUnreachableAttempts) {
-    StartSearch(call);
-    return;
-  }
-  if (MayRetry(call, result)) {
-    StartSearch(call);
-    return;
-  }
-  Refuse(call,
-         call.may_have_run ? RefuseReason::kOutcomeUnknown
-                           : RefuseReason::kRefusedByTargets,
-         RetryDelay(call));
-}
-
-bool Engine::MayRetry(Call& call, AttemptResult result) {
-  const bool idempotent =
-      call.request.semantics == table::Semantics::kIdempotent;
-  if (!call.request.replayable || (call.may_have_run && !idempotent) ||
-      result == AttemptResult::kCancelled) {
-    return false;
-  }
-  const std::uint32_t max_attempts = call.request.max_attempts > 0
-                                         ? call.request.max_attempts
-                                         : kDefaultMaxAttempts;
-  const std::size_t sent = call.attempts.size() - call.unreachable_attempts;
-  if (sent >= max_attempts || TimeToDeadline(call) < WorkTimeOf(call)) {
-    return false;
-  }
-  RetryBudget& budget = ServiceOf(call).budget;
-  // A caller whose call did not run can retry by itself, at no cost to the
-  // budget. A caller that has already retried depends on this retry.
-  const bool caller_can_retry = result == AttemptResult::kRefused &&
-                                !call.request.caller_retry &&
-                                !call.may_have_run;
-  const double reserve =
-      caller_can_retry ? kReserveForCallerRetries * budget.Total(now_) : 0.0;
-  // The budget is charged when the attempt is sent.
-  return budget.Remaining(now_) >= 1.0 + reserve;
-}
-
 void Engine::CancelOthers(Call& call, const Attempt* winner) {
   for (std::size_t index = 0; index < call.attempts.size(); ++index) {
     Attempt& attempt = call.attempts[index];
@@ -371,21 +240,17 @@
 
 void Engine::Refuse(Call& call, RefuseReason reason, Duration retry_after) {
   ++ServiceOf(call).counters.refused;
-  NotifyObserver(call, nullptr, "refused");
+  NotifyObserver(MakeDecision(call, DecisionType::kRefused, "refused"));
   actions_.emplace_back(
       dispatch::RefuseCall{call.request.call, reason, retry_after});
   Finish(call);
 }
 
-/// Passes a decision to the observer.
-/// @param candidate Target that the call is sent to; null when it is refused.
-void Engine::NotifyObserver(const Call& call,
-                            const Candidate* candidate,
-                            const char* reason) const {
-  if (!observer_) {
-    return;
-  }
+Decision Engine::MakeDecision(const Call& call,
+                              DecisionType type,
+                              const char* reason) const {
   Decision decision;
+  decision.type = type;
   decision.call = call.request.call;
   decision.service = call.request.service;
   decision.reason = reason;
@@ -393,15 +258,13 @@
   decision.objective_remaining = call.request.objective - now_;
   decision.attempts = call.attempts.size();
   decision.searches = call.searches;
-  if (candidate != nullptr) {
-    decision.target = candidate->target->properties().id;
-    decision.expected_latency = candidate->expected_latency;
-    decision.backlog = candidate->estimate.backlog;
-    decision.report_age = candidate->estimate.report_age;
-    decision.slowdown =
-        candidate->target->report() ? candidate->target->report()->slowdown : 0;
+  return decision;
+}
+
+void Engine::NotifyObserver(const Decision& decision) const {
+  if (observer_) {
+    observer_(decision);
   }
-  observer_(decision);
 }
 
 void Engine::Finish(Call& call) {
--- a/src/kingcupshed/placement/internal/engine.h
+++ b/src/kingcupshed/placement/internal/engine.h
@@ -29,6 +29,8 @@
   bool queued_at_target = false;
   bool running = true;
   bool cancelled = false;
+  /// True once the target is known not to have the call.
+  bool lost = false;
   bool response_started = false;
 };
 
@@ -67,6 +69,10 @@
   /// True once an attempt may have run the call without a usable response.
   bool may_have_run = false;
   TimePoint timer = TimePoint::max();
+  /// When a second target is searched for while an attempt runs.
+  TimePoint hedge_at = TimePoint::max();
+  /// When a target that runs an attempt is probed for whether it has the call.
+  TimePoint check_at = TimePoint::max();
 
   /// Returns the number of running attempts.
   [[nodiscard]] std::size_t running() const;
@@ -146,6 +152,10 @@
   [[nodiscard]] bool HasCapacity(const Call& call,
                                  const Candidate& candidate,
                                  double headroom) const;
+  /// Returns true when the target can queue the call, also if others send calls
+  /// at the same time.
+  [[nodiscard]] bool HasRoomInQueue(const Call& call,
+                                    const Candidate& candidate) const;
   [[nodiscard]] bool WouldContend(const Call& call,
                                   const Candidate& candidate) const;
   /// Returns true when the service also gets calls of a more urgent rank, for
@@ -153,6 +163,7 @@
   [[nodiscard]] bool YieldsToMoreUrgent(const Call& call) const;
   [[nodiscard]] bool MayWait(const Call& call, Duration work_time) const;
   void Probe(Call& call, const std::vector<Candidate>& candidates);
+  void SendProbe(TargetId target);
   void HandleNoCapacity(Call& call, const Candidate* best);
   void WaitForCapacity(Call& call);
   [[nodiscard]] Duration RetryDelay(const Call& call);
@@ -160,19 +171,35 @@
   // Attempts and their results.
   void SendAttempt(Call& call, const Candidate& candidate, const char* reason);
   void ScheduleHedge(Call& call, const Candidate& candidate);
+  void ScheduleDeliveryCheck(Call& call, const Candidate& candidate);
+  void SetSilenceTimer(Call& call);
+  void HandleSilence(Call& call);
   void TryHedge(Call& call);
+  void CheckDelivery(Call& call);
+  void EndLostAttempts(TargetId target);
+  void NotifyDropped(const Call& call,
+                     const Attempt& attempt,
+                     const TargetModel& target) const;
+  [[nodiscard]] bool CanDetectLoss(const Call& call) const;
   void CancelOthers(Call& call, const Attempt* winner);
   void UpdateModels(const Call& call,
                     const Attempt& attempt,
                     dispatch::AttemptResult result);
+  void HandleLostAttempt(const Call& call, const Attempt& attempt);
+  [[nodiscard]] bool WasFull(const Call& call,
+                             const Attempt& attempt,
+                             const TargetModel& target) const;
   void HandleAttemptEnd(Call& call, dispatch::AttemptResult result);
+  /// Returns true when the call may be sent to another target.
+  [[nodiscard]] bool HasAttemptsLeft(const Call& call) const;
   [[nodiscard]] bool MayRetry(Call& call, dispatch::AttemptResult result);
   void Refuse(Call& call, dispatch::RefuseReason reason, Duration retry_after);
   void Finish(Call& call);
   void SetTimer(Call& call, TimePoint timer);
-  void NotifyObserver(const Call& call,
-                      const Candidate* candidate,
-                      const char* reason) const;
+  [[nodiscard]] Decision MakeDecision(const Call& call,
+                                      DecisionType type,
+                                      const char* reason) const;
+  void NotifyObserver(const Decision& decision) const;
 
   [[nodiscard]] ServiceState& ServiceOf(const Call& call);
   /// Returns the work time learned for the call's route, or an initial value.
--- a/src/kingcupshed/placement/internal/search.cc
+++ b/src/kingcupshed/placement/internal/search.cc
@@ -1,4 +1,4 @@
-// Search for the target of a call: probes, choice, waiting and hedging.
+// Search for the target of a call: probes, choice and waiting.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "kingcupshed/placement/internal/engine.h"
+#include "kingcupshed/placement/internal/margins.h"
 
 namespace kingcupshed::placement::internal {
 
@@ -40,8 +41,6 @@
 /// A call needs probes when its objective is below this multiple of its work
 /// time; with a wider objective even a badly chosen target responds in time.
 constexpr int kTightObjectiveFactor = 8;
-/// Factor on predicted times that allows for variation of the work time.
-constexpr double kWorkTimeMargin = 1.15;
 /// Mean interval between two searches of a call that waits for capacity.
 constexpr Duration kSearchInterval = std::chrono::milliseconds(12);
 /// Time by which a target of another zone or region must be faster to be
@@ -84,20 +83,6 @@
 /// Longest delay of a retry that can still meet the objective.
 constexpr Duration kMaxQuickRetryDelay = std::chrono::milliseconds(80);
 constexpr Duration kRetryAfterNoTarget = std::chrono::milliseconds(300);
-/// Extra attempts in the retry budget that hedges leave for retries after
-/// failures.
-constexpr double kHedgeReserve = 2.0;
-/// An attempt is late, and may be hedged, after this multiple of its expected
-/// latency.
-constexpr double kLateFactor = 1.6;
-/// An attempt counts as unresponsive after this multiple of its expected
-/// latency. Used when a hedge would miss the objective.
-constexpr double kUnresponsiveFactor = 4.0;
-
-Duration Scale(double factor, Duration duration) {
-  return FromSeconds(factor * ToSeconds(duration));
-}
-
 }  // namespace
 
 /// Records a search and returns the number of a service's targets to which this
@@ -256,16 +241,21 @@
       continue;
     }
     call.pending_probes.insert(id);
-    const auto [probe, added] = probes_.try_emplace(id);
-    probe->second.push_back(call.request.call);
-    if (added) {
-      ++ServiceOf(call).counters.probes;
-      probe_tokens_.Spend(1.0);
-      actions_.emplace_back(dispatch::ProbeTarget{id});
-    }
+    SendProbe(id);
+    probes_[id].push_back(call.request.call);
   }
 }
 
+/// Probes a target unless a probe of it is running.
+void Engine::SendProbe(TargetId target) {
+  if (!probes_.try_emplace(target).second) {
+    return;
+  }
+  ++services_[targets_.at(target).properties().service].counters.probes;
+  probe_tokens_.Spend(1.0);
+  actions_.emplace_back(dispatch::ProbeTarget{target});
+}
+
 /// Continues the calls whose last pending probe has ended.
 void Engine::HandleProbeEnd(TargetId target) {
   const auto probe = probes_.extract(target);
@@ -311,6 +301,26 @@
   return slots - candidate.estimate.backlog >= needed;
 }
 
+bool Engine::HasRoomInQueue(const Call& call,
+                            const Candidate& candidate) const {
+  const ServiceState& service = services_.at(call.request.service);
+  const auto max_calls =
+      service.model.MaxCalls(candidate.target->properties().slots);
+  if (!max_calls) {
+    return true;
+  }
+  const Duration age =
+      std::min(candidate.estimate.report_age, WorkTimeOf(call)) +
+      RoundTripTo(*candidate.target);
+  const double fleet_calls_per_s = service.recent_searches /
+                                   ToSeconds(kSearchDecayTime) *
+                                   static_cast<double>(vms_);
+  const double others =
+      fleet_calls_per_s * ToSeconds(age) /
+      static_cast<double>(std::max<std::size_t>(1, service.targets.size()));
+  return candidate.estimate.backlog + 1.0 + others <= *max_calls;
+}
+
 /// Returns true when one more call would lower the target's throughput while
 /// most of the service's useful slots are in use.
 bool Engine::WouldContend(const Call& call, const Candidate& candidate) const {
@@ -350,6 +360,8 @@
   }
   if (best == nullptr) {
     if (call.running() > 0) {
+      call.hedging = false;
+      SetSilenceTimer(call);
       return;
     }
     Refuse(call,
@@ -360,6 +372,7 @@
     return;
   }
   if (MeetsObjective(call, *best) && !WouldContend(call, *best) &&
+      HasRoomInQueue(call, *best) &&
       (!YieldsToMoreUrgent(call) || HasCapacity(call, *best, 0.0))) {
     SendAttempt(call, *best, call.hedging ? "hedge" : "in time");
     return;
@@ -395,7 +408,8 @@
     }
     // No hedge for now: the running attempt continues alone.
     call.hedging = false;
-    SetTimer(call, now_ + std::max(work_time, TimeToObjective(call)));
+    call.hedge_at = now_ + std::max(work_time, TimeToObjective(call));
+    SetSilenceTimer(call);
     return;
   }
   // A call that is late anyway only uses capacity that is left over by calls
@@ -485,45 +499,23 @@
   const AttemptId id{static_cast<std::uint32_t>(call.attempts.size())};
   call.attempts.push_back(attempt);
   target.OnAttemptStarted(now_);
-  NotifyObserver(call, &candidate, reason);
+  Decision decision = MakeDecision(call, DecisionType::kPlaced, reason);
+  decision.target = attempt.target;
+  decision.expected_latency = candidate.expected_latency;
+  decision.backlog = candidate.estimate.backlog;
+  decision.report_age = candidate.estimate.report_age;
+  decision.slowdown = target.report() ? target.report()->slowdown : 0;
+  NotifyObserver(decision);
   actions_.emplace_back(dispatch::StartAttempt{call.request.call, id,
                                                attempt.target, call.hedging});
   if (call.hedging) {
     call.hedged = true;
     call.hedging = false;
-    return;
-  }
-  ScheduleHedge(call, candidate);
-}
-
-void Engine::ScheduleHedge(Call& call, const Candidate& candidate) {
-  const bool may_run_twice =
-      call.request.semantics == table::Semantics::kIdempotent &&
-      call.request.replayable && !call.hedged;
-  const std::uint32_t max_attempts =
-      call.request.max_attempts > 0 ? call.request.max_attempts : 2;
-  if (!may_run_twice ||
-      call.attempts.size() - call.unreachable_attempts >= max_attempts) {
-    return;
-  }
-  const Duration late_after = Scale(kLateFactor, candidate.expected_latency);
-  const bool can_hedge_in_time =
-      late_after + Scale(kWorkTimeMargin, WorkTimeOf(call)) <=
-      TimeToObjective(call);
-  const Duration unresponsive_after =
-      std::max(Scale(kUnresponsiveFactor, candidate.expected_latency),
-               TimeToObjective(call));
-  SetTimer(call, now_ + (can_hedge_in_time ? late_after : unresponsive_after));
-}
-
-void Engine::TryHedge(Call& call) {
-  if (call.response_started || call.running() != 1 || call.hedged ||
-      TimeToDeadline(call) < WorkTimeOf(call) ||
-      ServiceOf(call).budget.Remaining(now_) < 1.0 + kHedgeReserve) {
-    return;
+  } else {
+    ScheduleHedge(call, candidate);
   }
-  call.hedging = true;
-  StartSearch(call);
+  ScheduleDeliveryCheck(call, candidate);
+  SetSilenceTimer(call);
 }
 
 }  // namespace kingcupshed::placement::internal
--- a/src/kingcupshed/placement/placer.h
+++ b/src/kingcupshed/placement/placer.h
@@ -42,6 +42,8 @@
   /// Attempts that were charged to the retry budget: retries and hedges.
   std::uint64_t extra_attempts = 0;
   std::uint64_t probes = 0;
+  /// Attempts that their target was found not to have.
+  std::uint64_t dropped_attempts = 0;
   /// Time from a call's arrival to its first attempt.
   metrics::LatencyHistogram wait_times;
   /// Time from a call's arrival to the header of its response.
@@ -58,8 +60,19 @@
   double typical_slowdown = 1.0;
 };
 
+/// What was decided about a call.
+enum class DecisionType : std::uint8_t {
+  /// It is sent to a target.
+  kPlaced,
+  /// It is refused.
+  kRefused,
+  /// An attempt is given up, because its target doesn't have it.
+  kAttemptDropped,
+};
+
 /// A decision about a call and the values that it is based on, for logs.
 struct Decision {
+  DecisionType type = DecisionType::kRefused;
   CallId call{};
   ServiceId service{};
   /// Empty when the call was refused.
--- a/src/kingcupshed/placement/service_model.h
+++ b/src/kingcupshed/placement/service_model.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <algorithm>
+#include <cstdint>
 #include <map>
+#include <optional>
 
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/core/time.h"
@@ -30,6 +33,21 @@
   /// Adds a target's reported load to the typical load.
   void AddLoad(double backlog, double slowdown) noexcept;
 
+  /// Records how many calls waited at a target.
+  void AddQueue(std::uint32_t queued) noexcept {
+    longest_queue_ = std::max(longest_queue_, queued);
+  }
+
+  /// Records that a target with a queue didn't take a call, and didn't say so.
+  void OnCallDropped() noexcept { drops_calls_ = true; }
+
+  /// Returns the number of calls that a target can have, running and waiting,
+  /// without dropping any; nothing if targets of the service aren't known to
+  /// drop calls.
+  [[nodiscard]] std::optional<double> MaxCalls(double slots) const noexcept {
+    return drops_calls_ ? std::optional(slots + longest_queue_) : std::nullopt;
+  }
+
   /// Returns the time that a call of a route takes at a target without slowdown
   /// or contention.
   /// @param fallback Returned before the first sample.
@@ -68,6 +86,9 @@
   double contention_ = 1.0;
   double typical_backlog_ = 1.0;
   double typical_slowdown_ = 1.0;
+  /// Largest number of waiting calls that a target has reported.
+  std::uint32_t longest_queue_ = 0;
+  bool drops_calls_ = false;
 };
 
 }  // namespace kingcupshed::placement
--- a/src/kingcupshed/placement/target_model.cc
+++ b/src/kingcupshed/placement/target_model.cc
@@ -33,6 +33,10 @@
 constexpr double kSendersPerCall = 2.0;
 constexpr double kMoreSenders = 1.5;
 
+/// Time within which a message arrives although packets were lost and sent
+/// again: the shortest retransmission timeout of TCP is 200 ms.
+constexpr Duration kDeliveryTime = std::chrono::milliseconds(250);
+
 /// Returns the weight of information of a given age.
 double DecayWeight(Duration age, Duration time_constant) {
   return std::exp(-ToSeconds(age) / ToSeconds(time_constant));
@@ -55,7 +59,7 @@
 }  // namespace
 
 void TargetModel::OnAttemptStarted(TimePoint now) {
-  attempt_starts_.push_back(now);
+  pending_.push_back({now, std::nullopt});
   if (limit_) {
     limit_->bucket.Advance(now);
     limit_->bucket.Spend(1.0);
@@ -63,10 +67,12 @@
 }
 
 void TargetModel::OnAttemptEnded(TimePoint started) {
-  const auto found =
-      std::find(attempt_starts_.begin(), attempt_starts_.end(), started);
-  if (found != attempt_starts_.end()) {
-    attempt_starts_.erase(found);
+  const auto found = std::find_if(pending_.begin(), pending_.end(),
+                                  [started](const PendingAttempt& attempt) {
+                                    return attempt.started == started;
+                                  });
+  if (found != pending_.end()) {
+    pending_.erase(found);
   }
 }
 
@@ -75,6 +81,38 @@
   report_time_ = now;
   consecutive_unreachable_ = 0;
   avoid_until_ = TimePoint{};
+  if (load.queued > 0) {
+    queue_reported_ = now;
+  }
+}
+
+void TargetModel::CheckDelivery(Duration round_trip, TimePoint now) {
+  if (!report_) {
+    return;
+  }
+  const TimePoint delivered_before = now - round_trip - kDeliveryTime;
+  const auto delivered = static_cast<std::size_t>(
+      std::count_if(pending_.begin(), pending_.end(),
+                    [delivered_before](const PendingAttempt& attempt) {
+                      return attempt.started < delivered_before;
+                    }));
+  const std::size_t reported = report_->in_flight + report_->queued;
+  const std::size_t missing = delivered - std::min(delivered, reported);
+  for (std::size_t index = 0; index < pending_.size(); ++index) {
+    PendingAttempt& attempt = pending_[index];
+    attempt.missing_since =
+        index < missing ? std::optional(attempt.missing_since.value_or(now))
+                        : std::nullopt;
+  }
+}
+
+bool TargetModel::IsLost(TimePoint started, TimePoint now) const {
+  return std::any_of(pending_.begin(), pending_.end(),
+                     [started, now](const PendingAttempt& attempt) {
+                       return attempt.started == started &&
+                              attempt.missing_since &&
+                              now - *attempt.missing_since >= kDeliveryTime;
+                     });
 }
 
 void TargetModel::OnSuccess(TimePoint now) noexcept {
@@ -163,9 +201,11 @@
   if (report_) {
     estimate.report_age = now - report_time_;
     slowdown = service.PredictSlowdown(report_->slowdown, estimate.report_age);
-    const auto sent_since_report = static_cast<double>(std::count_if(
-        attempt_starts_.begin(), attempt_starts_.end(),
-        [this](TimePoint start) { return start > report_time_; }));
+    const auto sent_since_report = static_cast<double>(
+        std::count_if(pending_.begin(), pending_.end(),
+                      [this](const PendingAttempt& attempt) {
+                        return attempt.started > report_time_;
+                      }));
     const double reported = report_->in_flight + report_->queued;
     backlog +=
         DecayWeight(estimate.report_age, work_time) * (reported - backlog);
@@ -173,7 +213,10 @@
   } else {
     slowdown *= RelativeWorkTime(now);
   }
-  backlog = std::max(backlog, static_cast<double>(attempt_starts_.size()));
+  const auto at_target = std::count_if(
+      pending_.begin(), pending_.end(),
+      [](const PendingAttempt& attempt) { return !attempt.missing_since; });
+  backlog = std::max(backlog, static_cast<double>(at_target));
   const double slots = service.UsefulSlots(std::max(1U, properties_.slots));
   const double warmup = properties_.warmup_end > now ? kWarmupFactor : 1.0;
   const double contention = backlog + 1.0 >= slots ? service.contention() : 1.0;
--- a/src/kingcupshed/placement/target_model.h
+++ b/src/kingcupshed/placement/target_model.h
@@ -26,6 +26,15 @@
   std::size_t sharing_rank = 0;
 };
 
+/// An attempt without a response.
+struct PendingAttempt {
+  TimePoint started{};
+  /// Time of the first of the newest load reports that show fewer calls than
+  /// this VM has sent to the target, this attempt counted as one of those that
+  /// it doesn't have; nothing while reports can include the attempt.
+  std::optional<TimePoint> missing_since;
+};
+
 /// This VM's share of a limit that a target names.
 struct LimitShare {
   TokenBucket bucket;
@@ -63,6 +72,22 @@
   /// Stores a load report and ends the time for which the target is avoided.
   void OnReport(const LoadReport& load, TimePoint now);
 
+  /// Compares the newest load report with the attempts that had reached the
+  /// target when it was made, and notes which of them the target doesn't have:
+  /// the oldest ones, if it has fewer.
+  /// @param round_trip Round trip to the target.
+  void CheckDelivery(Duration round_trip, TimePoint now);
+
+  /// Returns true if the target doesn't have the attempt that was sent at
+  /// `started`, and its response can't be on its way either.
+  [[nodiscard]] bool IsLost(TimePoint started, TimePoint now) const;
+
+  /// Returns true if a load report since `since` showed calls that wait for a
+  /// slot.
+  [[nodiscard]] bool HadQueueSince(TimePoint since) const noexcept {
+    return queue_reported_ && *queue_reported_ >= since;
+  }
+
   /// Records a successful attempt.
   void OnSuccess(TimePoint now) noexcept;
 
@@ -120,7 +145,7 @@
     return report_;
   }
   [[nodiscard]] std::uint32_t in_flight() const noexcept {
-    return static_cast<std::uint32_t>(attempt_starts_.size());
+    return static_cast<std::uint32_t>(pending_.size());
   }
   /// Time of the newest load report.
   [[nodiscard]] TimePoint report_time() const noexcept { return report_time_; }
@@ -130,9 +155,12 @@
   [[nodiscard]] double RelativeWorkTime(TimePoint now) const noexcept;
 
   TargetProperties properties_;
-  std::vector<TimePoint> attempt_starts_;
+  /// Attempts in the order in which they were sent.
+  std::vector<PendingAttempt> pending_;
   std::optional<LoadReport> report_;
   TimePoint report_time_{};
+  /// Time of the newest load report that showed calls waiting for a slot.
+  std::optional<TimePoint> queue_reported_;
   double relative_work_time_ = 1.0;
   TimePoint relative_work_time_updated_{};
   double failure_share_ = 0.0;
--- a/test/kingcupshed/model/simulated_target.cc
+++ b/test/kingcupshed/model/simulated_target.cc
@@ -19,17 +19,19 @@
   }
 
   bool Submit(SimulatedTarget& target, std::uint64_t id) {
-    return target.Submit(id, milliseconds(10),
-                         [this, id](const WorkTimes& times) {
-                           completed.push_back(id);
-                           last_times = times;
-                         });
+    last_submission =
+        target.Submit(id, milliseconds(10), [this, id](const WorkTimes& times) {
+          completed.push_back(id);
+          last_times = times;
+        });
+    return last_submission == Submission::kAccepted;
   }
 
   ServiceScenario service;
   VirtualClock clock;
   std::vector<std::uint64_t> completed;
   WorkTimes last_times;
+  Submission last_submission = Submission::kAccepted;
 };
 
 }  // namespace
@@ -56,6 +58,18 @@
   BOOST_TEST(last_times.slowdown == 2.0);
 }
 
+BOOST_AUTO_TEST_CASE(RefusesOrIgnoresWorkWhenFull) {
+  for (const bool silent : {false, true}) {
+    service.silent_when_full = silent;
+    SimulatedTarget target(service, clock, 1);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+      (void)Submit(target, id);
+    }
+    BOOST_TEST((last_submission ==
+                (silent ? Submission::kUnanswered : Submission::kRefused)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CancelledWorkLeavesTheTarget) {
   SimulatedTarget target(service, clock, 1);
   for (std::uint64_t id = 1; id <= 3; ++id) {
--- a/test/kingcupshed/model/simulation.cc
+++ b/test/kingcupshed/model/simulation.cc
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr const char* kScenarios[] = {"norrvik-calm",    "norrvik-burst",
-                                      "norrvik-trouble", "lestage-calm",
-                                      "lestage-burst",   "lestage-shed"};
+constexpr const char* kScenarios[] = {
+    "norrvik-calm",  "norrvik-burst", "norrvik-trouble", "lestage-calm",
+    "lestage-burst", "lestage-shed",  "vdgrind-hang"};
 constexpr std::string_view kPlacer = "placer";
 constexpr std::string_view kOracle = "all_seeing";
 
--- a/test/kingcupshed/placement/placer.cc
+++ b/test/kingcupshed/placement/placer.cc
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "support/placer_rig.h"
+
 namespace kingcupshed::placement {
 
 namespace {
@@ -18,136 +20,12 @@
 using routing::Distance;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-constexpr ServiceId kService{1};
-constexpr RouteId kRoute{1};
-
-struct Rig {
-  Rig() : placer(MakeConfig()) {}
-
-  static Config MakeConfig() {
-    Config config;
-    config.retry_budget = {0.2, seconds(10), 100.0};
-    return config;
-  }
-
-  void AddTargets(int count, Distance distance = Distance::kSameZone) {
-    for (int i = 0; i < count; ++i) {
-      TargetProperties properties;
-      properties.id = TargetId{static_cast<std::uint32_t>(targets.size() + 1)};
-      properties.service = kService;
-      properties.distance = distance;
-      properties.slots = 3;
-      targets.push_back(properties);
-    }
-    placer.SetTargets(targets);
-  }
-
-  [[nodiscard]] dispatch::CallArrived MakeCall(std::uint64_t id) const {
-    dispatch::CallArrived call;
-    call.call = CallId{id};
-    call.service = kService;
-    call.route = kRoute;
-    call.rank = Rank::kUrgent;
-    call.deadline = now + seconds(1);
-    call.objective = now + milliseconds(200);
-    call.replayable = true;
-    call.max_attempts = 2;
-    return call;
-  }
-
-  std::vector<Action> Handle(const dispatch::Event& event) {
-    return placer.Handle(event, now);
-  }
-
-  /// Responds to each probe among the actions with a load report, until none is
-  /// left. Returns the other actions.
-  std::vector<Action> RespondToProbes(std::vector<Action> actions) {
-    std::vector<Action> rest;
-    while (!actions.empty()) {
-      std::vector<Action> more;
-      for (const Action& action : actions) {
-        const auto* probe = std::get_if<dispatch::ProbeTarget>(&action);
-        if (probe == nullptr) {
-          rest.push_back(action);
-          continue;
-        }
-        ++probes;
-        const auto load = loads.find(probe->target);
-        LoadReport report;
-        report.slots = 3;
-        if (load != loads.end()) {
-          report = load->second;
-        }
-        for (Action& next : Handle(dispatch::LoadReported{probe->target, report,
-                                                          milliseconds(1)})) {
-          more.push_back(next);
-        }
-      }
-      actions = std::move(more);
-    }
-    return rest;
-  }
-
-  std::vector<Action> Arrive(const dispatch::CallArrived& call) {
-    return RespondToProbes(Handle(call));
-  }
-
-  /// Advances the time until the placer takes an action other than a probe, for
-  /// at most `timeout`.
-  std::vector<Action> Wait(Duration timeout) {
-    const TimePoint end = now + timeout;
-    for (auto wake = placer.NextWake(); wake && *wake <= end;
-         wake = placer.NextWake()) {
-      now = std::max(now, *wake);
-      std::vector<Action> actions = RespondToProbes(Handle(dispatch::Tick{}));
-      if (!actions.empty()) {
-        return actions;
-      }
-    }
-    now = end;
-    return {};
-  }
-
-  void SetLoad(std::uint32_t target,
-               std::uint32_t running,
-               std::uint32_t queued,
-               double slowdown) {
-    LoadReport& load = loads[TargetId{target}];
-    load.in_flight = running;
-    load.queued = queued;
-    load.slots = 3;
-    load.slowdown = slowdown;
-  }
-
-  Placer placer;
-  std::vector<TargetProperties> targets;
-  std::map<TargetId, LoadReport> loads;
-  int probes = 0;
-  TimePoint now{seconds(1000)};
-};
-
-const StartAttempt* FindStart(const std::vector<Action>& actions) {
-  for (const Action& action : actions) {
-    if (const auto* start = std::get_if<StartAttempt>(&action)) {
-      return start;
-    }
-  }
-  return nullptr;
-}
-
-const RefuseCall* FindRefusal(const std::vector<Action>& actions) {
-  for (const Action& action : actions) {
-    if (const auto* refusal = std::get_if<RefuseCall>(&action)) {
-      return refusal;
-    }
-  }
-  return nullptr;
-}
+using support::FindRefusal;
+using support::FindStart;
 
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(PlacerTest, Rig)
+BOOST_FIXTURE_TEST_SUITE(PlacerTest, support::PlacerRig)
 
 BOOST_AUTO_TEST_CASE(RefusesWithoutTargets) {
   const auto actions = Arrive(MakeCall(1));
@@ -276,7 +154,25 @@
   AddTargets(3);
   dispatch::CallArrived call = MakeCall(1);
   call.semantics = table::Semantics::kAtMostOnce;
-  BOOST_REQUIRE(FindStart(Arrive(call)) != nullptr);
+  const auto placed = Arrive(call);
+  const StartAttempt* start = FindStart(placed);
+  BOOST_REQUIRE(start != nullptr);
+  SetLoad(ToIndex(start->target), 1, 0, 1.0);
+  BOOST_TEST(Wait(milliseconds(900)).empty());
+}
+
+// The second of two attempts after an error response must not be hedged when
+// the time for a hedge of the first one has come.
+BOOST_AUTO_TEST_CASE(HedgeAfterARetryDoesNotExceedTheAttemptsOfTheRoute) {
+  AddTargets(3);
+  BOOST_REQUIRE(FindStart(Arrive(MakeCall(1))) != nullptr);
+  now += milliseconds(20);
+  const auto retried = RespondToProbes(Handle(
+      dispatch::AttemptEnded{CallId{1}, AttemptId{0},
+                             AttemptResult::kErrorResponse, std::nullopt, 0}));
+  const StartAttempt* retry = FindStart(retried);
+  BOOST_REQUIRE(retry != nullptr);
+  SetLoad(ToIndex(retry->target), 1, 0, 1.0);
   BOOST_TEST(Wait(milliseconds(900)).empty());
 }
 
--- a/test/kingcupshed/placement/target_model.cc
+++ b/test/kingcupshed/placement/target_model.cc
@@ -61,6 +61,21 @@
   BOOST_TEST(estimate.backlog > 1.9);
 }
 
+// A call that a full target dropped must not count as work at that target for
+// as long as its response is awaited.
+BOOST_AUTO_TEST_CASE(AttemptsThatTheTargetDoesNotHaveAreNoLoad) {
+  ServiceModel service;
+  TargetModel target(MakeProperties());
+  target.OnAttemptStarted(kStart);
+  target.OnAttemptStarted(kStart + milliseconds(1));
+  const TimePoint later = kStart + milliseconds(600);
+  target.OnReport(MakeLoad(1, 0, 1.0), later);
+  target.CheckDelivery(milliseconds(4), later);
+  const Estimate estimate = target.EstimateCall(service, kWorkTime, later);
+  BOOST_TEST(estimate.backlog == 1.0);
+  BOOST_TEST(target.in_flight() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(EstimateForgetsAReportedSlowdownWithTime) {
   ServiceModel service;
   TargetModel target(MakeProperties());
