Start a large fleet without a storm of polls and reads

Cause: until a VM had a copy it polled another VM every 150 ms, all of them the same few: the heads of the zones, with a tenth of a core each, had no time for the polls that brought anything. After 3.5 s the VMs read for themselves, six calls each. And each of the 471 entries of the first listing made the VM sort all VMs again and rank itself for all targets.

In a zone of more than 32 VMs only the first ones take their data from the head and serve an equal part of the others each; the levels follow from the sorted list, and a VM climbs them when one is suspected. While a VM has no copy its polls are slower in larger zones, and wait for the heads' first read when the whole fleet starts. First own reads follow one another. A listing is applied at once, and the position for a target's limit is computed once.

--- a/src/kingcupshed/daemon/peer_exchange.cc
+++ b/src/kingcupshed/daemon/peer_exchange.cc
@@ -1,7 +1,9 @@
 #include "kingcupshed/daemon/peer_exchange.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -130,7 +132,7 @@
     Respond(poll, now);
     return;
   }
-  vms_.Update(ReadPlace(request.sender()));
+  vms_.Update({ReadPlace(request.sender())});
   propagation::RequesterState requester;
   requester.routes_version = request.routes_version();
   requester.targets_known_to = LogOffset{request.targets_from()};
@@ -241,9 +243,10 @@
   // The response was sent at this instant at the earliest.
   const TimePoint sent_at =
       requested_at + std::chrono::milliseconds(published.held_ms());
-  for (const peer::wire::VmPlace& place : published.vms()) {
-    vms_.Update(ReadPlace(place));
-  }
+  std::vector<VmEndpoint> endpoints;
+  std::transform(published.vms().begin(), published.vms().end(),
+                 std::back_inserter(endpoints), ReadPlace);
+  vms_.Update(endpoints);
   ApplyRoutes(vm, published);
   PollResponse response;
   if (published.has_routes_age_ms()) {
--- a/src/kingcupshed/daemon/vm_directory.cc
+++ b/src/kingcupshed/daemon/vm_directory.cc
@@ -29,6 +29,7 @@
   if (page.status != StoreStatus::kDone) {
     co_return page.status;
   }
+  std::vector<VmEndpoint> endpoints;
   for (const platform::KeyedRecord& record : page.records) {
     const auto entry =
         record.value ? platform::DecodeVm(*record.value) : std::nullopt;
@@ -38,23 +39,34 @@
     registered_ =
         registered_ || (record.key == self_.vm && entry->zone == self_.zone &&
                         entry->peer_address == self_.peer_address);
-    Update({record.key, entry->zone, entry->peer_address});
+    endpoints.push_back({record.key, entry->zone, entry->peer_address});
   }
+  Update(endpoints);
   listed_ = true;
   co_return StoreStatus::kDone;
 }
 
-void VmDirectory::Update(const VmEndpoint& endpoint) {
+void VmDirectory::Update(const std::vector<VmEndpoint>& endpoints) {
+  bool changed = false;
+  for (const VmEndpoint& endpoint : endpoints) {
+    changed = Apply(endpoint) || changed;
+  }
+  if (changed) {
+    on_change_();
+  }
+}
+
+bool VmDirectory::Apply(const VmEndpoint& endpoint) {
   if (endpoint.vm == self_.vm || endpoint.vm.empty()) {
-    return;
+    return false;
   }
   VmEndpoint& known = others_[endpoint.vm];
   if (known.peer_address == endpoint.peer_address &&
       known.zone == endpoint.zone) {
-    return;
+    return false;
   }
   known = endpoint;
-  on_change_();
+  return true;
 }
 
 VmNamesByZone VmDirectory::NamesByZone() const {
--- a/src/kingcupshed/daemon/vm_directory.h
+++ b/src/kingcupshed/daemon/vm_directory.h
@@ -27,7 +27,8 @@
 /// from other VMs.
 class VmDirectory {
  public:
-  /// @param on_change Called when a VM became known or has another location.
+  /// @param on_change Called once for each update by which VMs became known or
+  ///   have other locations.
   VmDirectory(const platform::Store& store,
               VmEndpoint self,
               std::function<void()> on_change);
@@ -38,8 +39,8 @@
   /// Reads all VMs from the store.
   [[nodiscard]] boost::asio::awaitable<platform::StoreStatus> ReadList();
 
-  /// Adds another VM, or changes its location. Does nothing for this VM.
-  void Update(const VmEndpoint& endpoint);
+  /// Adds other VMs, or changes their locations. Ignores this VM.
+  void Update(const std::vector<VmEndpoint>& endpoints);
 
   [[nodiscard]] const VmEndpoint& self() const noexcept { return self_; }
   /// Returns the other VMs by name.
@@ -58,6 +59,9 @@
   [[nodiscard]] bool registered() const noexcept { return registered_; }
 
  private:
+  /// @return True if the VM wasn't known at this location.
+  bool Apply(const VmEndpoint& endpoint);
+
   const platform::Store& store_;
   VmEndpoint self_;
   std::function<void()> on_change_;
--- a/src/kingcupshed/placement/limit_sharing.cc
+++ b/src/kingcupshed/placement/limit_sharing.cc
@@ -14,6 +14,8 @@
 /// hashing).
 constexpr std::uint64_t kHashFactor = 0x9E3779B97F4A7C15ULL;
 constexpr unsigned kHalfWord = 32;
+/// Positions that are kept: several times the targets of a large deployment.
+constexpr std::size_t kMaxRanks = 16384;
 
 std::uint64_t HashOf(const std::string& name) {
   return XXH64(name.data(), name.size(), 0);
@@ -33,6 +35,7 @@
 void LimitSharing::SetVms(
     const std::map<std::string, std::vector<std::string>>& zones) {
   others_.clear();
+  ranks_.clear();
   for (const auto& [zone, vms] : zones) {
     std::transform(vms.begin(), vms.end(), std::back_inserter(others_[zone]),
                    HashOf);
@@ -40,7 +43,19 @@
 }
 
 std::size_t LimitSharing::RankFor(const std::string& target,
-                                  const std::string& zone) const {
+                                  const std::string& zone) {
+  if (ranks_.size() >= kMaxRanks) {
+    ranks_.clear();
+  }
+  const auto [entry, added] = ranks_.try_emplace({target, zone}, 0);
+  if (added) {
+    entry->second = ComputeRank(target, zone);
+  }
+  return entry->second;
+}
+
+std::size_t LimitSharing::ComputeRank(const std::string& target,
+                                      const std::string& zone) const {
   const std::uint64_t hash = HashOf(target);
   const std::uint64_t own = OrderOf(self_, hash);
   const bool in_zone = zone == zone_;
--- a/src/kingcupshed/placement/limit_sharing.h
+++ b/src/kingcupshed/placement/limit_sharing.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kingcupshed::placement {
@@ -21,16 +22,22 @@
   /// @param zones Their names by zone.
   void SetVms(const std::map<std::string, std::vector<std::string>>& zones);
 
-  /// Returns the position of this VM for a target.
+  /// Returns the position of this VM for a target. The first request for a
+  /// target compares all VMs, further ones find the result.
   /// @param zone Availability zone of the target.
   [[nodiscard]] std::size_t RankFor(const std::string& target,
-                                    const std::string& zone) const;
+                                    const std::string& zone);
 
  private:
+  [[nodiscard]] std::size_t ComputeRank(const std::string& target,
+                                        const std::string& zone) const;
+
   std::uint64_t self_;
   std::string zone_;
   /// Hashes of the names of the other VMs, by zone.
   std::map<std::string, std::vector<std::uint64_t>> others_;
+  /// Positions by target and zone, until the VMs change.
+  std::map<std::pair<std::string, std::string>, std::size_t> ranks_;
 };
 
 }  // namespace kingcupshed::placement
--- a/src/kingcupshed/propagation/schedule.cc
+++ b/src/kingcupshed/propagation/schedule.cc
@@ -35,8 +35,18 @@
 /// smallest bound, with a margin for the response.
 constexpr Duration kUrgentAge = milliseconds(1200);
 constexpr std::size_t kUrgentPolls = 3;
-/// The same while this VM has no copy.
+/// The same while this VM has no copy, and the number of VMs of a zone up to
+/// which it holds; in proportion to their number in a larger zone, since all of
+/// them may start at the same time.
 constexpr Duration kStartupFallbackInterval = milliseconds(150);
+constexpr std::size_t kStartupFallbackVms = 16;
+/// Time after the first start of the whole fleet from which further VMs are
+/// polled: none can have a copy before the heads have read the store.
+constexpr Duration kFirstStartFallbackTime = milliseconds(1500);
+/// VMs of a zone that make their first own read at the same time, and delay of
+/// each further one.
+constexpr std::size_t kFirstReaders = 4;
+constexpr Duration kFirstReadDelay = milliseconds(60);
 /// Time by which the copy of another source is newer when the primary counts
 /// as stale.
 constexpr Duration kStaleDifference = milliseconds(300);
@@ -157,15 +167,16 @@
 
 void Schedule::AddFallbackPoll(TimePoint now, std::vector<Action>& actions) {
   const auto current = current_.Earliest();
-  const TimePoint due =
-      std::max(current ? *current + kFallbackAge : started_ + kFallbackInterval,
-               next_fallback_poll_);
+  const TimePoint first_due =
+      started_ + (first_start_ ? kFirstStartFallbackTime : kFallbackInterval);
+  const TimePoint due = std::max(current ? *current + kFallbackAge : first_due,
+                                 next_fallback_poll_);
   if (due > now) {
     WakeAt(due);
     return;
   }
   next_fallback_poll_ =
-      now + WithJitter(current ? kFallbackInterval : kStartupFallbackInterval);
+      now + WithJitter(current ? kFallbackInterval : StartupFallbackInterval());
   WakeAt(next_fallback_poll_);
   const bool urgent = current && now - *current > kUrgentAge;
   std::size_t polls = urgent ? kUrgentPolls : 1;
@@ -179,6 +190,13 @@
   }
 }
 
+Duration Schedule::StartupFallbackInterval() const {
+  const double zones =
+      static_cast<double>(order_.ZoneSize()) / kStartupFallbackVms;
+  return FromSeconds(std::max(1.0, zones) *
+                     ToSeconds(kStartupFallbackInterval));
+}
+
 void Schedule::AddReads(TimePoint now, std::vector<Action>& actions) {
   for (const Content content : kContents) {
     Read& read = reads_[static_cast<std::size_t>(content)];
@@ -237,10 +255,13 @@
   }
   const bool responses =
       last_response_ && now - *last_response_ < kNoResponseTime;
+  const std::size_t index = std::max(kFirstReaders, order_.IndexInZone());
+  const Duration turn = kFirstReadDelay * (index - kFirstReaders);
   if (first_start_) {
-    return started_ + kFirstStartTimeout;
+    return started_ + kFirstStartTimeout + turn;
   }
-  return responses ? started_ + kRestartTimeout : *listed_ + kSecondHeadDelay;
+  return turn +
+         (responses ? started_ + kRestartTimeout : *listed_ + kSecondHeadDelay);
 }
 
 }  // namespace kingcupshed::propagation
--- a/src/kingcupshed/propagation/schedule.h
+++ b/src/kingcupshed/propagation/schedule.h
@@ -109,6 +109,9 @@
   void WakeAt(TimePoint at) noexcept;
   /// Returns when the VM reads a content unless its copy becomes newer.
   [[nodiscard]] TimePoint ReadTime(Content content, TimePoint now) const;
+  /// Returns the mean interval of polls of further VMs while this VM has no
+  /// copy.
+  [[nodiscard]] Duration StartupFallbackInterval() const;
   /// Returns when the VM first reads, while it has no copy.
   [[nodiscard]] TimePoint FirstReadTime(TimePoint now) const;
   /// Returns the age of a copy at which the VM reads the store.
--- a/src/kingcupshed/propagation/source_order.cc
+++ b/src/kingcupshed/propagation/source_order.cc
@@ -1,6 +1,7 @@
 #include "kingcupshed/propagation/source_order.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <utility>
 
@@ -14,6 +15,17 @@
 constexpr std::size_t kMaxSuspicionDoublings = 3;
 /// VMs of the own zone among the fallbacks.
 constexpr std::size_t kFallbacksInZone = 3;
+/// Largest zone whose head serves all VMs of the zone itself. Each holds one
+/// poll, answered about twice a second.
+constexpr std::size_t kMaxFlatZone = 32;
+
+/// Returns the number of VMs that one VM of a zone serves; two levels then
+/// cover the zone.
+std::size_t Branching(std::size_t vms) {
+  return vms <= kMaxFlatZone ? vms
+                             : static_cast<std::size_t>(std::ceil(
+                                   std::sqrt(static_cast<double>(vms))));
+}
 
 std::uint64_t HashOf(const std::string& name) {
   return XXH64(name.data(), name.size(), 0);
@@ -95,9 +107,36 @@
       [&](const std::string& vm) { return IsSuspected(vm, now); });
 }
 
+std::optional<std::string> SourceOrder::Parent(TimePoint now) const {
+  const std::size_t branching = Branching(own_zone_.size());
+  for (std::size_t at = index_in_zone_; at > 0;) {
+    at = (at - 1) / branching;
+    if (!IsSuspected(own_zone_[at], now)) {
+      return own_zone_[at];
+    }
+  }
+  return FirstOf(own_zone_, now);
+}
+
+std::optional<std::string> SourceOrder::AnyServing(const Vms& vms,
+                                                   TimePoint now) const {
+  if (vms.size() <= kMaxFlatZone) {
+    return FirstOf(vms, now);
+  }
+  const std::size_t serving = Branching(vms.size());
+  const std::size_t first = HashOf(self_) % serving;
+  for (std::size_t at = 0; at < serving; ++at) {
+    const std::string& vm = vms[(first + at) % serving];
+    if (vm != self_ && !IsSuspected(vm, now)) {
+      return vm;
+    }
+  }
+  return FirstOf(vms, now);
+}
+
 std::optional<std::string> SourceOrder::Primary(TimePoint now) const {
   if (!IsHead(now)) {
-    return FirstOf(own_zone_, now);
+    return Parent(now);
   }
   for (const Vms& vms : other_zones_) {
     if (auto head = FirstOf(vms, now)) {
@@ -109,8 +148,14 @@
 
 std::vector<std::string> SourceOrder::Fallbacks(TimePoint now) const {
   const std::optional<std::string> primary = Primary(now);
+  // VMs of a large zone begin with different ones of it, too.
+  const std::size_t first_in_zone =
+      own_zone_.size() <= kMaxFlatZone
+          ? 0
+          : HashOf(self_) % Branching(own_zone_.size());
   Vms in_zone;
-  for (const std::string& vm : own_zone_) {
+  for (std::size_t at = 0; at < own_zone_.size(); ++at) {
+    const std::string& vm = own_zone_[(first_in_zone + at) % own_zone_.size()];
     if (vm != self_ && vm != primary && !IsSuspected(vm, now) &&
         in_zone.size() < kFallbacksInZone) {
       in_zone.push_back(vm);
@@ -119,17 +164,18 @@
   // VMs of one zone begin with different zones, to share the load.
   const std::size_t zones = other_zones_.size();
   const std::size_t first = zones == 0 ? 0 : HashOf(self_) % zones;
-  Vms heads;
+  Vms elsewhere;
   for (std::size_t at = 0; at < zones; ++at) {
-    const auto head = FirstOf(other_zones_[(first + at) % zones], now);
-    if (head && head != primary) {
-      heads.push_back(*head);
+    const auto vm = AnyServing(other_zones_[(first + at) % zones], now);
+    if (vm && vm != primary) {
+      elsewhere.push_back(*vm);
     }
   }
   Vms fallbacks;
-  for (std::size_t at = 0; at < std::max(heads.size(), in_zone.size()); ++at) {
-    if (at < heads.size()) {
-      fallbacks.push_back(heads[at]);
+  for (std::size_t at = 0; at < std::max(elsewhere.size(), in_zone.size());
+       ++at) {
+    if (at < elsewhere.size()) {
+      fallbacks.push_back(elsewhere[at]);
     }
     if (at < in_zone.size()) {
       fallbacks.push_back(in_zone[at]);
--- a/src/kingcupshed/propagation/source_order.h
+++ b/src/kingcupshed/propagation/source_order.h
@@ -21,7 +21,9 @@
 /// All VMs sort zones, and the VMs of each zone, by a hash of the names. The
 /// first VM of a zone that isn't suspected is its head. VMs take their data
 /// from the head of their zone, heads take it from the head of the first zone.
-/// There is no election: VMs that disagree take the same data by another way.
+/// In a zone with many VMs only the first ones take it from the head, and each
+/// of these serves an equal part of the others. There is no election: VMs that
+/// disagree take the same data by another way.
 class SourceOrder {
  public:
   /// @param self Name of this VM.
@@ -50,12 +52,18 @@
     return index_in_zone_;
   }
 
+  /// Returns the number of VMs of this VM's zone.
+  [[nodiscard]] std::size_t ZoneSize() const noexcept {
+    return own_zone_.size();
+  }
+
   /// Returns the VM from which this VM takes its data; nothing if it is alone.
   [[nodiscard]] std::optional<std::string> Primary(TimePoint now) const;
 
   /// Returns further VMs that have the data, for the time in which that of the
-  /// primary gets old. Heads of other zones alternate with VMs of this zone, so
-  /// that neighbours in the list fail for different reasons.
+  /// primary gets old. VMs of other zones alternate with VMs of this zone, so
+  /// that neighbours in the list fail for different reasons. They are the first
+  /// of their zone, or any of those that serve others in a zone with many VMs.
   [[nodiscard]] std::vector<std::string> Fallbacks(TimePoint now) const;
 
  private:
@@ -66,6 +74,13 @@
   using Vms = std::vector<std::string>;
 
   [[nodiscard]] bool IsSuspected(const std::string& vm, TimePoint now) const;
+  /// Returns the VM that serves this one while no VM is suspected, or the next
+  /// one on the way to the head of the zone that isn't.
+  [[nodiscard]] std::optional<std::string> Parent(TimePoint now) const;
+  /// Returns one of the VMs of a zone that serve others; VMs of different names
+  /// get different ones.
+  [[nodiscard]] std::optional<std::string> AnyServing(const Vms& vms,
+                                                      TimePoint now) const;
   /// Returns the first of `vms` that is neither suspected nor this VM.
   [[nodiscard]] std::optional<std::string> FirstOf(const Vms& vms,
                                                    TimePoint now) const;
--- a/test/kingcupshed/propagation/fleet.cc
+++ b/test/kingcupshed/propagation/fleet.cc
@@ -26,6 +26,12 @@
                                                    {15, 15, 15, 15},
                                                    {27, 27, 22, 22, 22, 24}};
 
+/// Fleets of 472 and 1,904 VMs.
+const std::vector<std::vector<std::size_t>> kLargeSizes{
+    std::vector<std::size_t>(8, 59), std::vector<std::size_t>(8, 238)};
+/// Processor time of a message at a VM with a tenth of a core.
+constexpr Duration kMessageTime = milliseconds(4);
+
 FleetConfig ConfigOf(const std::vector<std::size_t>& zones,
                      std::uint64_t seed) {
   FleetConfig config;
@@ -118,6 +124,43 @@
 }
 
 // One VM of the fleet reads for all; a further zone costs no further calls.
+BOOST_AUTO_TEST_CASE(LargeFleetStartsSoonAndWithFewReads) {
+  for (const auto& zones : kLargeSizes) {
+    for (const bool first_start : {true, false}) {
+      FleetConfig config = ConfigOf(zones, 1);
+      config.message_time = kMessageTime;
+      config.first_start = first_start;
+      Fleet fleet(config);
+      fleet.RunUntil(kStart + seconds(6));
+      BOOST_TEST(fleet.CountServing() == fleet.size());
+      BOOST_TEST(fleet.store_calls() <= fleet.size() / 5);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LargeFleetIsCalmWithSomeTensOfVmsAtEach) {
+  for (const auto& zones : kLargeSizes) {
+    FleetConfig config = ConfigOf(zones, 2);
+    config.message_time = kMessageTime;
+    Fleet fleet(config);
+    Random random(2);
+    PublishAtRandom(fleet, random, seconds(20));
+    fleet.RunUntil(kStart + seconds(8));
+    const std::size_t calls = fleet.store_calls();
+    (void)fleet.TakeMostPollingVms();
+    fleet.RunUntil(kStart + seconds(24));
+    constexpr std::size_t kMostPollingVms = 50;
+    BOOST_TEST(fleet.TakeMostPollingVms() <= kMostPollingVms);
+    // Two contents, each every 0.5 s.
+    constexpr std::size_t kReads = 64;
+    BOOST_TEST(fleet.store_calls() - calls <= kReads);
+    const Duration delay =
+        fleet.LongestDelay(kStableWindow, kStart + seconds(20));
+    BOOST_TEST((delay > Duration::zero()));
+    BOOST_TEST((delay <= kCalmBound), fleet.DescribeLongest());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CalmFleetCallsTheStoreAtTheRateOfOneReader) {
   for (const auto& zones : kSizes) {
     Fleet fleet(ConfigOf(zones, 1));
--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -165,7 +165,9 @@
   up = std::max(up, now_) + transfer;
   TimePoint& down = vms_[to].down_free;
   down = std::max(down, up + Latency(from, to) - transfer) + transfer;
-  At(down, [this, to, life = vms_[to].life, deliver = std::move(deliver)] {
+  TimePoint& idle_from = vms_[to].idle_from;
+  idle_from = std::max(idle_from, down) + config_.message_time;
+  At(idle_from, [this, to, life = vms_[to].life, deliver = std::move(deliver)] {
     if (vms_[to].alive && vms_[to].life == life) {
       RunOn(to, deliver);
     }
@@ -323,6 +325,7 @@
       vm.schedule->current().Of(Content::kTargets).has_value();
   Send(index, other, kMessageBytes, [=, this] {
     Vm& provider = vms_[other];
+    provider.polled_by.insert(index);
     const HeldRequests::Id id = next_id_++;
     provider.responders[id] = [=, this] {
       Vm& responder = vms_[other];
@@ -376,6 +379,22 @@
   (void)sent;
 }
 
+std::size_t Fleet::TakeMostPollingVms() {
+  std::size_t most = 0;
+  for (Vm& vm : vms_) {
+    most = std::max(most, vm.polled_by.size());
+    vm.polled_by.clear();
+  }
+  return most;
+}
+
+std::size_t Fleet::CountServing() const {
+  return static_cast<std::size_t>(
+      std::count_if(vms_.begin(), vms_.end(), [](const Vm& vm) {
+        return vm.alive && vm.schedule->current().Earliest().has_value();
+      }));
+}
+
 void Fleet::FetchRoutes(std::size_t index, const std::string& from) {
   Vm& vm = vms_[index];
   const std::size_t other = IndexOf(from);
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -28,6 +28,8 @@
   Duration cross_zone = std::chrono::microseconds(500);
   Duration cross_region = std::chrono::milliseconds(30);
   Duration store_time = std::chrono::milliseconds(4);
+  /// Processor time that a VM spends on each message that it receives.
+  Duration message_time{};
   std::uint64_t seed = 1;
   bool first_start = true;
 };
@@ -91,6 +93,11 @@
   /// Returns the largest number of calls within one second.
   [[nodiscard]] std::size_t MaxStoreCallsPerSecond() const;
   [[nodiscard]] std::size_t polls() const noexcept { return polls_; }
+  /// Returns the largest number of VMs that polled the same one since the last
+  /// call, and starts anew.
+  [[nodiscard]] std::size_t TakeMostPollingVms();
+  /// Returns the number of VMs that have routes and targets.
+  [[nodiscard]] std::size_t CountServing() const;
   [[nodiscard]] std::size_t size() const noexcept { return vms_.size(); }
   /// Returns true if a VM's version ever fell.
   [[nodiscard]] bool reverted() const noexcept { return reverted_; }
@@ -129,6 +136,10 @@
     std::map<std::string, Reported> reported;
     TimePoint up_free{};
     TimePoint down_free{};
+    /// When the VM has handled all messages that it has received.
+    TimePoint idle_from{};
+    /// VMs that have polled this one.
+    std::set<std::size_t> polled_by;
     /// When the VM had each version and each departure.
     std::map<std::uint64_t, TimePoint> routes_at;
     std::map<std::uint64_t, TimePoint> targets_at;
