--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -228,6 +228,28 @@
   BOOST_TEST(!Contains(response, "wrong"));
 }
 
+// A second copy of a response can also arrive on a connection that another call
+// uses by then.
+BOOST_AUTO_TEST_CASE(LateSecondCopyOfAResponseIsNotThatOfTheNextCall) {
+  const std::string copy =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n"
+      "Content-Length: 5\r\n\r\nfirst";
+  for (const char* method : {"GET", "POST"}) {
+    RoutedServerRig rig(1);
+    rig.AddScriptedResponse({RoutedServerRig::MakeResponse("first")});
+    rig.AddScriptedResponse({copy + RoutedServerRig::MakeResponse("second")});
+    const std::string path =
+        std::string(method) == "GET" ? "/read/x" : "/write/x";
+    const auto request = [&](const char* id) {
+      return RoutedServerRig::MakeRequest(method, path, id);
+    };
+    BOOST_TEST(rig.Exchange(request("r1")).ends_with("first"));
+    const std::string second = rig.Exchange(request("r2"));
+    BOOST_TEST(second.ends_with("second"), second);
+    BOOST_TEST(!Contains(second, "first"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ReplacesInvalidResponses) {
   const std::vector<std::string> invalid_responses{
       // Without the stamp of the target.
@@ -326,6 +348,46 @@
   BOOST_TEST(StatusOf(rig.Exchange(Get("r2"))) == "200");
 }
 
+// A target whose queue is full never responds to an at-most-once call, and its
+// load reports show that it doesn't have the call. The caller learns early that
+// the outcome is unknown, nothing is sent again, and the connection is closed.
+BOOST_AUTO_TEST_CASE(AtMostOnceCallThatItsTargetDroppedEndsBeforeItsTimeout) {
+  RoutedServerRig rig(1);
+  rig.SetRouteTimeout(std::chrono::seconds(20));
+  rig.AddScriptedResponse(
+      {.bytes = RoutedServerRig::MakeResponse("late"), .hold_response = true});
+  const auto response = rig.StartExchange(
+      "POST /write/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+      "Connection: close\r\nContent-Length: 2\r\n\r\nab");
+  const auto start = std::chrono::steady_clock::now();
+  rig.RunUntil([&] { return response->second; });
+  BOOST_TEST(
+      (std::chrono::steady_clock::now() - start < std::chrono::seconds(10)));
+  BOOST_TEST(StatusOf(response->first) == "502");
+  rig.RunUntil([&] { return rig.aborted_requests() == 1U; });
+  BOOST_TEST(rig.requests().size() == 1U);
+}
+
+// Connections that the kernel has accepted, but the VM has not, are served when
+// it stops accepting.
+BOOST_AUTO_TEST_CASE(ServesConnectionsThatWaitToBeAcceptedWhenItStops) {
+  RoutedServerRig rig(2);
+  constexpr int kConnections = 40;
+  std::vector<std::shared_ptr<std::pair<std::string, bool>>> responses;
+  for (int id = 0; id < kConnections; ++id) {
+    responses.push_back(rig.SendAtOnce(RoutedServerRig::MakeRequest(
+        id % 2 == 0 ? "GET" : "POST", id % 2 == 0 ? "/read/x" : "/write/x",
+        "r" + std::to_string(id))));
+  }
+  rig.server().BeginStop();
+  rig.server().StopAccepting();
+  for (const auto& response : responses) {
+    rig.RunUntil([&] { return response->second; });
+    BOOST_TEST(!response->first.empty());
+    BOOST_TEST(StatusOf(response->first) != "502");
+  }
+}
+
 // Stop under load: every request that was read gets its response, even when the
 // target responds only after the VM has stopped accepting connections. The
 // response announces that the connection closes.
--- a/test/kingcupshed/placement/silent_attempts.cc
+++ b/test/kingcupshed/placement/silent_attempts.cc
@@ -91,6 +91,22 @@
   BOOST_TEST(probes < 20);
 }
 
+// A target that is only silent, or slow to report, keeps its work.
+BOOST_AUTO_TEST_CASE(SilentTargetKeepsItsAtMostOnceCall) {
+  AddTargets(2);
+  const auto placed = Arrive(MakeLongCall(1, table::Semantics::kAtMostOnce));
+  const StartAttempt* start = FindStart(placed);
+  BOOST_REQUIRE(start != nullptr);
+  while (now < TimePoint{std::chrono::seconds(1002)}) {
+    now += milliseconds(50);
+    for (const Action& action : Handle(dispatch::Tick{})) {
+      const auto* probe = std::get_if<dispatch::ProbeTarget>(&action);
+      BOOST_REQUIRE(probe != nullptr);
+      (void)Handle(dispatch::ProbeFailed{probe->target});
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ResponseOnItsWayIsAwaited) {
   AddTargets(1);
   const TargetId target = StartAtFullTarget(1, table::Semantics::kAtMostOnce);
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -127,6 +127,23 @@
     return response;
   }
 
+  /// Connects and sends bytes at once, before the event loop runs again.
+  /// @return The bytes received so far, and whether the connection has ended.
+  std::shared_ptr<std::pair<std::string, bool>> SendAtOnce(
+      std::string_view bytes) {
+    auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
+    socket->connect({asio::ip::make_address(prefix_ + ".1"), 8080});
+    asio::write(*socket, asio::buffer(bytes));
+    auto response = std::make_shared<std::pair<std::string, bool>>();
+    asio::co_spawn(
+        io_, Receive(socket, response->first),
+        [response](const std::exception_ptr&) { response->second = true; });
+    return response;
+  }
+
+  /// Sets the timeout of all routes.
+  void SetRouteTimeout(Duration timeout) { route_timeout_ = timeout; }
+
   /// Runs the event loop for a time.
   void RunFor(Duration duration) {
     const auto end = std::chrono::steady_clock::now() + duration;
@@ -234,7 +251,7 @@
       http::RoutedCall call;
       call.service = services_.Intern("s");
       call.service_name = "s";
-      call.timeout = std::chrono::milliseconds(700);
+      call.timeout = route_timeout_;
       call.objective = std::chrono::milliseconds(200);
       call.max_attempts = 2;
       if (query.path.starts_with("/read/")) {
@@ -388,22 +405,31 @@
     return text.empty() ? 0 : std::stoul(text);
   }
 
-  asio::awaitable<void> SendAndReceive(std::string bytes,
-                                       std::string& response) {
-    asio::ip::tcp::socket socket(io_);
-    co_await socket.async_connect(
-        {asio::ip::make_address(prefix_ + ".1"), 8080}, asio::use_awaitable);
+  static asio::awaitable<void> Receive(
+      std::shared_ptr<asio::ip::tcp::socket> socket,
+      std::string& response) {
     boost::system::error_code error;
-    auto token = asio::redirect_error(asio::use_awaitable, error);
-    co_await asio::async_write(socket, asio::buffer(bytes), token);
     std::array<char, 4096> chunk{};
     while (!error) {
-      const std::size_t size =
-          co_await socket.async_read_some(asio::buffer(chunk), token);
+      const std::size_t size = co_await socket->async_read_some(
+          asio::buffer(chunk),
+          asio::redirect_error(asio::use_awaitable, error));
       response.append(chunk.data(), size);
     }
   }
 
+  asio::awaitable<void> SendAndReceive(std::string bytes,
+                                       std::string& response) {
+    auto socket = std::make_shared<asio::ip::tcp::socket>(io_);
+    co_await socket->async_connect(
+        {asio::ip::make_address(prefix_ + ".1"), 8080}, asio::use_awaitable);
+    boost::system::error_code error;
+    co_await asio::async_write(
+        *socket, asio::buffer(bytes),
+        asio::redirect_error(asio::use_awaitable, error));
+    co_await Receive(socket, response);
+  }
+
   std::string prefix_;
   asio::io_context io_{1};
   timeline::Recorder recorder_;
@@ -416,6 +442,7 @@
   std::vector<std::string> requests_;
   std::set<asio::steady_timer*> held_responses_;
   bool responses_released_ = false;
+  Duration route_timeout_ = std::chrono::milliseconds(700);
   std::size_t aborted_requests_ = 0;
   std::set<TargetId> drain_marks_;
   std::size_t endless_responses_ = 0;
