--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -374,6 +374,7 @@
   RoutedServerRig rig(2);
   constexpr int kConnections = 40;
   std::vector<std::shared_ptr<std::pair<std::string, bool>>> responses;
+  responses.reserve(kConnections);
   for (int id = 0; id < kConnections; ++id) {
     responses.push_back(rig.SendAtOnce(RoutedServerRig::MakeRequest(
         id % 2 == 0 ? "GET" : "POST", id % 2 == 0 ? "/read/x" : "/write/x",
