--- a/test/kingcupshed/placement/placer.cc
+++ b/test/kingcupshed/placement/placer.cc
@@ -87,6 +87,26 @@
   BOOST_TEST(FindStart(Wait(milliseconds(40))) != nullptr);
 }
 
+// Callers crowd in one zone: its targets stay full, and slots become free at
+// others of the region only.
+BOOST_AUTO_TEST_CASE(WaitingCallFindsRoomAnywhereInTheRegion) {
+  constexpr std::uint32_t kInZone = 8;
+  constexpr std::uint32_t kInRegion = 20;
+  AddTargets(kInZone);
+  AddTargets(kInRegion, Distance::kSameRegion);
+  for (std::uint32_t target = 1; target <= kInZone + kInRegion; ++target) {
+    SetLoad(target, 3, 6, 3.0);
+  }
+  BOOST_TEST(Arrive(MakeCall(1)).empty());
+  for (std::uint32_t target = kInZone + 1; target <= kInZone + 10; ++target) {
+    SetLoad(target, 1, 0, 1.0);
+  }
+  const auto actions = Wait(milliseconds(100));
+  const StartAttempt* start = FindStart(actions);
+  BOOST_REQUIRE(start != nullptr);
+  BOOST_TEST(ToIndex(start->target) > kInZone);
+}
+
 // Guards against retried calls that are sent to full targets after a burst: the
 // targets' queues then never emptied.
 BOOST_AUTO_TEST_CASE(SendsLateCallsOnlyToSpareSlots) {
