--- a/src/kingcupshed/placement/internal/silence.cc
+++ b/src/kingcupshed/placement/internal/silence.cc
@@ -15,9 +15,9 @@
 /// An attempt counts as unresponsive after this multiple of its expected
 /// latency. Used when a hedge would miss the objective.
 constexpr double kUnresponsiveFactor = 4.0;
-/// Time after which a target is probed for whether it has a call that it should
-/// have responded to, and interval of further probes: the time in which a
-/// message arrives although packets were lost, and a probe between regions.
+/// Shortest time after which a target is probed for whether it has a call, and
+/// interval of further probes. Covers a message whose first packet was lost, and
+/// a probe between regions.
 constexpr Duration kDeliveryCheckInterval = std::chrono::milliseconds(320);
 
 }  // namespace
--- a/src/kingcupshed/placement/target_model.h
+++ b/src/kingcupshed/placement/target_model.h
@@ -29,9 +29,8 @@
 /// An attempt without a response.
 struct PendingAttempt {
   TimePoint started{};
-  /// Time of the first of the newest load reports that show fewer calls than
-  /// this VM has sent to the target, this attempt counted as one of those that
-  /// it doesn't have; nothing while reports can include the attempt.
+  /// Since when all load reports show that the target doesn't have the attempt;
+  /// nothing while they can include it.
   std::optional<TimePoint> missing_since;
 };
 
--- a/src/kingcupshed/propagation/schedule.cc
+++ b/src/kingcupshed/propagation/schedule.cc
@@ -191,9 +191,9 @@
 }
 
 Duration Schedule::StartupFallbackInterval() const {
-  const double zones =
+  const double factor =
       static_cast<double>(order_.ZoneSize()) / kStartupFallbackVms;
-  return FromSeconds(std::max(1.0, zones) *
+  return FromSeconds(std::max(1.0, factor) *
                      ToSeconds(kStartupFallbackInterval));
 }
 
--- a/test/kingcupshed/http/routed_call.cc
+++ b/test/kingcupshed/http/routed_call.cc
@@ -368,6 +368,19 @@
   BOOST_TEST(rig.requests().size() == 1U);
 }
 
+// A full target may leave health checks without a response, too.
+BOOST_AUTO_TEST_CASE(SilentHealthCheckEndsSoonAndItsConnectionIsClosed) {
+  RoutedServerRig rig(1);
+  rig.SilenceHealthChecks();
+  std::optional<ProbeOutcome> outcome;
+  rig.server().Probe({rig.target(0), "/health", std::chrono::milliseconds(150)},
+                     [&](const ProbeOutcome& ended) { outcome = ended; });
+  rig.RunUntil([&] { return outcome.has_value(); });
+  BOOST_TEST(!outcome->responded);
+  rig.RunUntil([&] { return rig.aborted_requests() == 1U; });
+  BOOST_TEST(StatusOf(rig.Exchange(Get())) == "200");
+}
+
 // Connections that the kernel has accepted, but the VM has not, are served when
 // it stops accepting.
 BOOST_AUTO_TEST_CASE(ServesConnectionsThatWaitToBeAcceptedWhenItStops) {
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -141,6 +141,13 @@
     return response;
   }
 
+  /// Lets all targets leave health checks without a response.
+  void SilenceHealthChecks() { health_silent_ = true; }
+
+  [[nodiscard]] TargetId target(std::size_t index) const {
+    return targets_.at(index).id;
+  }
+
   /// Sets the timeout of all routes.
   void SetRouteTimeout(Duration timeout) { route_timeout_ = timeout; }
 
@@ -311,6 +318,10 @@
       }
       const std::string body = buffer.substr(0, length);
       buffer.erase(0, length);
+      if (health_silent_ && head.starts_with("GET /health")) {
+        co_await HoldResponse(socket);
+        co_return;
+      }
       const ScriptedResponse response = NextResponse(head, body, name);
       if (response.hold_response) {
         co_await HoldResponse(socket);
@@ -442,6 +453,7 @@
   std::vector<std::string> requests_;
   std::set<asio::steady_timer*> held_responses_;
   bool responses_released_ = false;
+  bool health_silent_ = false;
   Duration route_timeout_ = std::chrono::milliseconds(700);
   std::size_t aborted_requests_ = 0;
   std::set<TargetId> drain_marks_;
