--- a/src/kingcupshed/placement/internal/silence.cc
+++ b/src/kingcupshed/placement/internal/silence.cc
@@ -16,8 +16,8 @@
 /// latency. Used when a hedge would miss the objective.
 constexpr double kUnresponsiveFactor = 4.0;
 /// Shortest time after which a target is probed for whether it has a call, and
-/// interval of further probes. Covers a message whose first packet was lost, and
-/// a probe between regions.
+/// interval of further probes. Covers a message whose first packet was lost,
+/// and a probe between regions.
 constexpr Duration kDeliveryCheckInterval = std::chrono::milliseconds(320);
 
 }  // namespace
