--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -478,8 +478,11 @@
         answer.stamp = head.get("response-stamp")
         answer.headers = head.headers
         if read_rate is None:
-            await read_body(reader, head, close_ends=True)
-            answer.body, answer.complete = head.body, head.complete
+            try:
+                await read_body(reader, head, close_ends=True)
+                answer.complete = head.complete
+            finally:
+                answer.body = head.body
             return
         left = int(head.get("content-length"))
         while left:
