Checks of a response's head in a file of their own

Moved as they were: what a head says (other call, valid, wrong instance, not run, notice, keep-alive) takes the head and the header scheme, and no longer the attempt.

--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http/span_body.hpp>
 
 #include "kingcupshed/http/headers.h"
+#include "kingcupshed/http/internal/response_check.h"
 
 namespace kingcupshed::http {
 
@@ -27,10 +28,7 @@
 /// to earlier calls.
 constexpr int kMaxSkippedResponses = 16;
 constexpr unsigned kMinFinalStatus = 200;
-constexpr unsigned kMinNonSuccessStatus = 300;
 constexpr unsigned kMinServerErrorStatus = 500;
-/// Bound on `Retry-After`, so that it fits into a duration.
-constexpr double kMaxRetryAfterS = 3600.0;
 /// Margin after the caller's deadline before the connection times out; the call
 /// itself ends at the deadline.
 constexpr Duration kDeadlineMargin = std::chrono::seconds(1);
@@ -66,7 +64,7 @@
     }
   }
   if (result == ExchangeResult::kCompleted) {
-    if (ReportsNotRun()) {
+    if (ReportsNotRun(response_->get(), *request_.header_scheme)) {
       call_state_.OnRefused(id_);
       Finish();
       co_return AttemptResult::kRefused;
@@ -241,7 +239,8 @@
     if (response_->get().result_int() < kMinFinalStatus) {
       continue;
     }
-    if (!IsForeignResponse()) {
+    if (!IsForOtherCall(response_->get(), *request_.header_scheme,
+                        request_.call)) {
       break;
     }
     const bool skipped = co_await SkipForeignResponse();
@@ -249,7 +248,7 @@
       co_return ExchangeResult::kNoResponse;
     }
   }
-  if (!IsValidResponse()) {
+  if (!IsValidResponse(*response_, *request_.header_scheme, request_.call)) {
     co_return ExchangeResult::kNoResponse;
   }
   const bool buffered = co_await BufferBody();
@@ -259,10 +258,11 @@
   const auto& head = response_->get();
   const HeaderScheme& header_scheme = *request_.header_scheme;
   load_ = header_scheme.parse_load(GetField(head, header_scheme.load));
-  draining_ = !header_scheme.drain.empty() && !IsFromWrongInstance() &&
+  draining_ = !header_scheme.drain.empty() &&
+              !IsFromWrongInstance(head, header_scheme) &&
               !GetField(head, header_scheme.drain).empty();
-  ParseNotice();
-  ParseKeepAlive();
+  notice_ = ParseNotice(head, header_scheme);
+  lease_->keep_alive = ParseKeepAlive(head).value_or(lease_->keep_alive);
   pool_.OnResponse(*lease_, Now());
   co_return ExchangeResult::kCompleted;
 }
@@ -280,15 +280,6 @@
   co_return error;
 }
 
-/// Returns whether the response carries the id of another call: one that was
-/// abandoned, or one whose response was sent twice.
-bool Attempt::IsForeignResponse() const {
-  const std::string_view echo =
-      GetField(response_->get(), request_.header_scheme->call_id);
-  return request_.header_scheme->caller_assigns_call_id && !echo.empty() &&
-         echo != request_.call;
-}
-
 /// Skips a response to another call; the response to this call follows it.
 asio::awaitable<bool> Attempt::SkipForeignResponse() {
   if (response_->need_eof()) {
@@ -314,88 +305,6 @@
   co_return true;
 }
 
-/// Returns whether the head belongs to this call and defines the body length
-/// unambiguously.
-bool Attempt::IsValidResponse() const {
-  const auto& head = response_->get();
-  const HeaderScheme& header_scheme = *request_.header_scheme;
-  const std::string_view echo = GetField(head, header_scheme.call_id);
-  const bool named = !echo.empty() || !header_scheme.caller_assigns_call_id;
-  if (!named || (!echo.empty() && echo != request_.call)) {
-    return false;
-  }
-  const bool ambiguous_length =
-      head.count(beast::http::field::content_length) > 1 ||
-      (head.count(beast::http::field::content_length) > 0 && head.chunked());
-  if (ambiguous_length) {
-    return false;
-  }
-  if (header_scheme.response_stamp.empty()) {
-    return response_->is_done() || !response_->need_eof();
-  }
-  const bool success = head.result_int() < kMinNonSuccessStatus;
-  const bool encoded = head.count(beast::http::field::content_encoding) > 0;
-  return !encoded &&
-         (!success || !GetField(head, header_scheme.response_stamp).empty());
-}
-
-/// Returns whether another instance than the one that was meant responded; it
-/// says nothing about the target.
-bool Attempt::IsFromWrongInstance() const {
-  const unsigned status = request_.header_scheme->wrong_instance_status;
-  return status != 0 && response_->get().result_int() == status;
-}
-
-/// Returns whether the target reports that it did not run the work.
-bool Attempt::ReportsNotRun() const {
-  const auto& head = response_->get();
-  const HeaderScheme& header_scheme = *request_.header_scheme;
-  if (IsFromWrongInstance()) {
-    return true;
-  }
-  const std::string_view word = GetField(head, header_scheme.not_run);
-  return header_scheme.not_run_value.empty()
-             ? !word.empty()
-             : word == header_scheme.not_run_value;
-}
-
-/// Records what the target says about the calls that it wants.
-void Attempt::ParseNotice() {
-  notice_ = {};
-  if (IsFromWrongInstance()) {
-    return;
-  }
-  const auto& head = response_->get();
-  notice_.known = true;
-  if (!request_.header_scheme->limit.empty()) {
-    notice_.calls_per_s =
-        ParseDecimal(GetField(head, request_.header_scheme->limit));
-  }
-  if (head.result() == beast::http::status::service_unavailable) {
-    const auto seconds = ParseDecimal(
-        GetField(head, to_string(beast::http::field::retry_after)));
-    if (seconds) {
-      notice_.retry_after = FromSeconds(std::min(*seconds, kMaxRetryAfterS));
-    }
-  }
-}
-
-/// Records how long the target keeps idle connections open.
-void Attempt::ParseKeepAlive() {
-  constexpr std::string_view kTimeout = "timeout=";
-  const std::string_view field =
-      GetField(response_->get(), to_string(beast::http::field::keep_alive));
-  const std::size_t at = field.find(kTimeout);
-  if (at == std::string_view::npos) {
-    return;
-  }
-  const std::string_view rest = field.substr(at + kTimeout.size());
-  const auto seconds = ParseNumber(rest.substr(0, rest.find_first_of(", ")));
-  if (seconds) {
-    lease_->keep_alive = std::chrono::seconds(*seconds);
-  }
-}
-
 /// Buffers the body completely, unless it is too large.
 asio::awaitable<bool> Attempt::BufferBody() {
   const auto length = response_->content_length();
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -104,12 +104,6 @@
   asio::awaitable<bool> BufferBody();
   asio::awaitable<bool> SkipForeignResponse();
   asio::awaitable<boost::system::error_code> ReadHead();
-  [[nodiscard]] bool IsForeignResponse() const;
-  [[nodiscard]] bool IsValidResponse() const;
-  [[nodiscard]] bool IsFromWrongInstance() const;
-  [[nodiscard]] bool ReportsNotRun() const;
-  void ParseKeepAlive();
-  void ParseNotice();
   void RecordSent(std::size_t bytes);
 
   AttemptId id_;
