The log says how far a lost exchange with a target came

An `attempt_lost` line named the call and the target only.

The line now has the phase, the error, the time taken, the time since the target's last bytes and the body bytes.

--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -103,6 +103,7 @@
 asio::awaitable<Attempt::ExchangeResult> Attempt::Exchange(
     ConnectionRequirement requirement) {
   connecting_ = nullptr;
+  trace_.Start(Now());
   lease_ = co_await pool_.Acquire(
       target_, requirement,
       [this](TargetConnection* connection) { connecting_ = connection; });
@@ -112,11 +113,13 @@
   }
   lease_->sent = Now();
   lease_->stream.expires_at(request_.deadline + kDeadlineMargin);
+  trace_.Enter(ExchangePhase::kSending);
   const bool fully_sent = co_await Send();
   if (cancelled_ || !sent_) {
     co_return sent_ ? ExchangeResult::kNoResponse : ExchangeResult::kNotSent;
   }
   if (request_.body != nullptr && request_.body->failed()) {
+    trace_.Fail("the caller's body broke off", Now());
     co_return ExchangeResult::kNoResponse;
   }
   fully_sent_ = fully_sent;
@@ -217,6 +220,7 @@
 asio::awaitable<Attempt::ExchangeResult> Attempt::ReadResponse(
     bool time_out_when_late) {
   const TimePoint limit = request_.deadline + kDeadlineMargin;
+  trace_.Enter(ExchangePhase::kAwaitingHead);
   time_out_when_late =
       time_out_when_late && request_.header_scheme->expected_instance.empty();
   if (fully_sent_) {
@@ -226,9 +230,13 @@
   }
   for (int skipped_responses = 0;; ++skipped_responses) {
     if (skipped_responses > kMaxSkippedResponses) {
+      trace_.Fail("too many other responses", Now());
       co_return ExchangeResult::kNoResponse;
     }
     const boost::system::error_code error = co_await ReadHead();
+    if (error) {
+      trace_.Fail(error, Now());
+    }
     if (error == beast::error::timeout && time_out_when_late && Now() < limit) {
       pool_.Suspect(target_, lease_->sent);
       co_return ExchangeResult::kLate;
@@ -245,16 +253,21 @@
     }
     const bool skipped = co_await SkipForeignResponse();
     if (!skipped) {
+      trace_.Fail("another call's response has no end", Now());
       co_return ExchangeResult::kNoResponse;
     }
   }
   if (!IsValidResponse(*response_, *request_.header_scheme, request_.call)) {
+    trace_.Fail("invalid head", Now());
     co_return ExchangeResult::kNoResponse;
   }
+  trace_.OnBytes(0, Now());
+  trace_.Enter(ExchangePhase::kReadingBody);
   const bool buffered = co_await BufferBody();
   if (!buffered) {
     co_return ExchangeResult::kNoResponse;
   }
+  trace_.Enter(ExchangePhase::kForwardingBody);
   const auto& head = response_->get();
   const HeaderScheme& header_scheme = *request_.header_scheme;
   load_ = header_scheme.parse_load(GetField(head, header_scheme.load));
@@ -328,11 +341,13 @@
         lease_->stream, lease_->buffer, *response_,
         asio::redirect_error(asio::use_awaitable, error));
     if (error && error != beast::http::error::need_buffer) {
+      trace_.Fail(error, Now());
       co_return false;
     }
     const std::size_t size = chunk.size() - response_->get().body().size;
     body_.append(chunk.data(), size);
     bytes_ += size;
+    trace_.OnBytes(size, Now());
   }
   co_return true;
 }
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -11,6 +11,7 @@
 #include "kingcupshed/http/call_state_machine.h"
 #include "kingcupshed/http/header_scheme.h"
 #include "kingcupshed/http/internal/caller_body.h"
+#include "kingcupshed/http/internal/exchange_trace.h"
 #include "kingcupshed/http/internal/message.h"
 #include "kingcupshed/http/internal/target_pool.h"
 
@@ -84,6 +85,8 @@
   void AddForwardedBytes(std::uint64_t bytes) noexcept { bytes_ += bytes; }
   /// Returns the number of request and response bytes so far.
   [[nodiscard]] std::uint64_t bytes() const noexcept { return bytes_; }
+  /// Returns how far the exchange came and what ended it, for the log.
+  [[nodiscard]] std::string DescribeEnd() const { return trace_.Describe(); }
   /// Returns the connection to the pool if the exchange is complete and the
   /// connection can be reused; closes it otherwise.
   void Finish();
@@ -118,6 +121,7 @@
   std::optional<LoadReport> load_;
   dispatch::TargetNotice notice_;
   std::uint64_t bytes_ = 0;
+  ExchangeTrace trace_;
   bool draining_ = false;
   bool sent_ = false;
   bool fully_sent_ = false;
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -312,7 +312,7 @@
         if (result == AttemptResult::kLost) {
           server_.Record("attempt_lost", outgoing_.call,
                          server_.context.target_name(attempt.target()),
-                         service_name_, "");
+                         service_name_, attempt.DescribeEnd());
         }
       },
       server_.context.can_start_work};
