A response is awaited until the call's deadline, however slowly it comes

Cause: Attempt::BufferBody gave the body of a buffered response a limit of 3 s of its own from the head on, whatever the call's kind and the time that it had. It replaced the call's limit, which stood until then.

Ruled out: the stop (the same 3.0 s without it, and the calls end 3.0 s after they were sent, not 2.4 s after the signal); load reports that prove a loss (no attempt_dropped line; the probes counted all orders); the target ("timeout; taken_ms=3001.9 silent_ms=72.0 body_bytes=29000", so bytes had come 72 ms before); the route's timeout and the deadline (5 s, 2 s were left).

Now the limit is that of the head: the deadline. A target that is silent in the body is no different from one that is silent before the head: idempotent work is hedged when it is late, and the first target is cancelled once the second has responded; at-most-once work waits. Memory is bounded as before, by size.

--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -20,8 +20,6 @@
 
 /// Time allowed for the response of a target that stopped reading the request.
 constexpr Duration kEarlyResponseTimeout = std::chrono::seconds(1);
-/// Time allowed for the body of a response that is buffered.
-constexpr Duration kBufferedBodyTimeout = std::chrono::seconds(3);
 /// A reused connection without a response for this long may be dead.
 constexpr Duration kSilenceThreshold = std::chrono::milliseconds(400);
 /// Limit on the responses before the one to this call: interim ones, and ones
@@ -331,7 +329,8 @@
   std::array<char, kChunkBytes> chunk;
   // An earlier exchange may have left the start of its body.
   body_.clear();
-  lease_->stream.expires_after(kBufferedBodyTimeout);
+  // A target whose body comes slowly, or pauses, is still at work.
+  lease_->stream.expires_at(request_.deadline + kDeadlineMargin);
   while (!response_->is_done() &&
          body_.size() < request_.max_buffered_response_bytes) {
     response_->get().body().data = chunk.data();
--- a/test/kingcupshed/http/slow_response.cc
+++ b/test/kingcupshed/http/slow_response.cc
@@ -1,5 +1,7 @@
+#include <chrono>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,13 +12,90 @@
 namespace {
 
 using support::RoutedServerRig;
+using support::ScriptedResponse;
 
+constexpr Duration kRouteTimeout = std::chrono::seconds(8);
 constexpr std::string_view kPiece = "0123456789";
 
+std::string MakeSlowRequest(std::string_view method, std::string_view path) {
+  return std::string(method) + " " + std::string(path) +
+         " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+         "Deadline-Ms: 8000\r\nConnection: close\r\n"
+         "Content-Length: 0\r\n\r\n";
+}
+
+/// Returns a response whose head is sent at once and whose body is sent in
+/// pieces.
+ScriptedResponse MakeSlowResponse(std::size_t pieces, Duration interval) {
+  ScriptedResponse response;
+  response.bytes =
+      "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+      "Content-Length: " +
+      std::to_string(pieces * kPiece.size()) + "\r\n\r\n";
+  response.pieces.assign(pieces, std::string(kPiece));
+  response.piece_interval = interval;
+  return response;
+}
+
+bool IsWhole(const std::string& response, std::size_t pieces) {
+  const std::size_t end_of_head = response.find("\r\n\r\n");
+  return response.starts_with("HTTP/1.1 200") &&
+         end_of_head != std::string::npos &&
+         response.size() - end_of_head - 4 == pieces * kPiece.size();
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(SlowResponseTest)
 
+// Guards against a VM that breaks off a response whose body takes longer than
+// some limit of the VM's own, though its target is at work on it: a body that
+// keeps coming, and one that pauses, of at-most-once and of idempotent work,
+// also during a planned stop.
+BOOST_AUTO_TEST_CASE(BodyMayTakeAsLongAsTheCallHasTime) {
+  constexpr std::size_t kManyPieces = 36;
+  constexpr Duration kShortInterval = std::chrono::milliseconds(100);
+  constexpr Duration kPause = std::chrono::milliseconds(3500);
+  RoutedServerRig rig(1);
+  rig.SetRouteTimeout(kRouteTimeout);
+  rig.AddScriptedResponse(MakeSlowResponse(kManyPieces, kShortInterval));
+  rig.AddScriptedResponse(MakeSlowResponse(1, kPause));
+  rig.AddScriptedResponse(MakeSlowResponse(kManyPieces, kShortInterval));
+  const auto start = [&](std::string_view method, std::string_view path) {
+    const std::size_t reached = rig.requests().size() + 1;
+    auto response = rig.StartExchange(MakeSlowRequest(method, path));
+    rig.RunUntil([&] { return rig.requests().size() >= reached; });
+    return response;
+  };
+  const auto steady_write = start("POST", "/write/x");
+  const auto paused_write = start("POST", "/write/x");
+  const auto steady_read = start("GET", "/read/x");
+  rig.server().BeginStop();
+  rig.server().StopAccepting();
+  rig.RunUntil([&] {
+    return steady_write->second && paused_write->second && steady_read->second;
+  });
+  BOOST_TEST(IsWhole(steady_write->first, kManyPieces), steady_write->first);
+  BOOST_TEST(IsWhole(paused_write->first, 1), paused_write->first);
+  BOOST_TEST(IsWhole(steady_read->first, kManyPieces), steady_read->first);
+  BOOST_TEST(rig.aborted_requests() == 0U);
+}
+
+// A body that stops coming delays an idempotent call no longer than a head that
+// doesn't come: another target serves it, and the first one isn't cut off
+// before that.
+BOOST_AUTO_TEST_CASE(StalledBodyOfIdempotentWorkIsReplacedByAnotherTarget) {
+  constexpr Duration kStall = std::chrono::seconds(60);
+  constexpr Duration kMaxTime = std::chrono::seconds(1);
+  RoutedServerRig rig(2);
+  rig.SetRouteTimeout(kRouteTimeout);
+  rig.AddScriptedResponse(MakeSlowResponse(1, kStall));
+  const TimePoint start = std::chrono::steady_clock::now();
+  const std::string response = rig.Exchange(MakeSlowRequest("GET", "/read/x"));
+  BOOST_TEST(response.ends_with("\r\n\r\nfine"), response);
+  BOOST_TEST((std::chrono::steady_clock::now() - start < kMaxTime));
+}
+
 // Without it a limit of the VM can't be told from a target that broke off.
 BOOST_AUTO_TEST_CASE(LogSaysHowFarALostExchangeCame) {
   RoutedServerRig rig(1);
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -50,6 +50,11 @@
   /// Bytes to send every millisecond after `bytes`, until the server closes the
   /// connection; empty for none.
   std::string repeated = {};
+  /// Parts of the response to send after `bytes`, each after `piece_interval`.
+  std::vector<std::string> pieces = {};
+  Duration piece_interval = std::chrono::milliseconds(100);
+  /// False if the target's load leaves the request out while it sends pieces.
+  bool counted_in_load = true;
 };
 
 /// A server that routes by path, with targets that send scripted responses.
@@ -172,7 +177,7 @@
   }
 
   /// Returns the number of requests whose connection ended while a target held
-  /// their response.
+  /// their response or sent its pieces.
   [[nodiscard]] std::size_t aborted_requests() const {
     return aborted_requests_;
   }
@@ -327,6 +332,7 @@
         co_await HoldResponse(socket);
       }
       co_await asio::async_write(socket, asio::buffer(response.bytes), token);
+      co_await SendPieces(socket, response, name);
       if (!response.repeated.empty()) {
         co_await SendEndlessly(socket, response.repeated);
         co_return;
@@ -342,6 +348,27 @@
     }
   }
 
+  asio::awaitable<void> SendPieces(asio::ip::tcp::socket& socket,
+                                   const ScriptedResponse& response,
+                                   const std::string& name) {
+    const std::size_t counted =
+        response.counted_in_load && !response.pieces.empty() ? 1 : 0;
+    running_[name] += counted;
+    boost::system::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    asio::steady_timer timer(io_);
+    for (const std::string& piece : response.pieces) {
+      timer.expires_after(response.piece_interval);
+      co_await timer.async_wait(asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(piece), token);
+      if (error) {
+        ++aborted_requests_;
+        break;
+      }
+    }
+    running_[name] -= counted;
+  }
+
   asio::awaitable<void> SendEndlessly(asio::ip::tcp::socket& socket,
                                       const std::string& repeated) {
     constexpr Duration kInterval = std::chrono::milliseconds(1);
@@ -386,7 +413,8 @@
                                 const std::string& name) {
     if (head.starts_with("GET /health")) {
       return {"HTTP/1.1 200 OK\r\nInstance-Id: " + name +
-              "\r\nServer-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n"};
+              "\r\nServer-Load: " + std::to_string(running_[name]) +
+              ",0,3,100\r\nContent-Length: 0\r\n\r\n"};
     }
     requests_.push_back(head + body);
     ScriptedResponse response{MakeResponse("fine")};
@@ -451,6 +479,8 @@
   std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> acceptors_;
   std::deque<ScriptedResponse> script_;
   std::vector<std::string> requests_;
+  /// Number of requests whose response each target is sending, by its name.
+  std::map<std::string, std::size_t> running_;
   std::set<asio::steady_timer*> held_responses_;
   bool responses_released_ = false;
   bool health_silent_ = false;
