Only a target without any call proves that it lost one

Cause: two load reports 250 ms apart with fewer calls than this VM had sent were taken for a proof that the target had lost the oldest of them. A target doesn't count a response that it has finished and that the VM still forwards; and even if a call is lost, the report doesn't tell which one.

Ruled out: the limit on bodies, mended before (no attempt_lost line); the stop (it comes without the SIGTERM, as the report says, and the log names the cause: "attempt_dropped: target does not have it; backlog=2.0 report_age_ms=0" while two bookings were at work there and one file was being forwarded).

Now a call is proved lost only by reports without any call. A loss beside other work at the same target is found once that work has ended; one at an otherwise idle target as fast as before. The difference of the counts still serves the estimate of the backlog, as before.

--- a/src/kingcupshed/placement/target_model.cc
+++ b/src/kingcupshed/placement/target_model.cc
@@ -59,7 +59,7 @@
 }  // namespace
 
 void TargetModel::OnAttemptStarted(TimePoint now) {
-  pending_.push_back({now, std::nullopt});
+  pending_.push_back({now, false, std::nullopt});
   if (limit_) {
     limit_->bucket.Advance(now);
     limit_->bucket.Spend(1.0);
@@ -100,9 +100,11 @@
   const std::size_t missing = delivered - std::min(delivered, reported);
   for (std::size_t index = 0; index < pending_.size(); ++index) {
     PendingAttempt& attempt = pending_[index];
-    attempt.missing_since =
-        index < missing ? std::optional(attempt.missing_since.value_or(now))
-                        : std::nullopt;
+    attempt.missing = index < missing;
+    const bool absent = reported == 0 && index < delivered;
+    attempt.absent_since =
+        absent ? std::optional(attempt.absent_since.value_or(now))
+               : std::nullopt;
   }
 }
 
@@ -110,8 +112,8 @@
   return std::any_of(pending_.begin(), pending_.end(),
                      [started, now](const PendingAttempt& attempt) {
                        return attempt.started == started &&
-                              attempt.missing_since &&
-                              now - *attempt.missing_since >= kDeliveryTime;
+                              attempt.absent_since &&
+                              now - *attempt.absent_since >= kDeliveryTime;
                      });
 }
 
@@ -215,7 +217,7 @@
   }
   const auto at_target = std::count_if(
       pending_.begin(), pending_.end(),
-      [](const PendingAttempt& attempt) { return !attempt.missing_since; });
+      [](const PendingAttempt& attempt) { return !attempt.missing; });
   backlog = std::max(backlog, static_cast<double>(at_target));
   const double slots = service.UsefulSlots(std::max(1U, properties_.slots));
   const double warmup = properties_.warmup_end > now ? kWarmupFactor : 1.0;
--- a/src/kingcupshed/placement/target_model.h
+++ b/src/kingcupshed/placement/target_model.h
@@ -26,12 +26,16 @@
   std::size_t sharing_rank = 0;
 };
 
-/// An attempt without a response.
+/// An attempt that has not ended.
 struct PendingAttempt {
   TimePoint started{};
-  /// Since when all load reports show that the target doesn't have the attempt;
-  /// nothing while they can include it.
-  std::optional<TimePoint> missing_since;
+  /// True if the newest load report shows fewer calls than this VM has sent,
+  /// and the attempt is among as many of the oldest. Which of them the target
+  /// doesn't have is not known, so this serves estimates only.
+  bool missing = false;
+  /// Since when all load reports that would include the attempt have shown no
+  /// call at the target; nothing if the newest shows one.
+  std::optional<TimePoint> absent_since;
 };
 
 /// This VM's share of a limit that a target names.
@@ -72,13 +76,14 @@
   void OnReport(const LoadReport& load, TimePoint now);
 
   /// Compares the newest load report with the attempts that had reached the
-  /// target when it was made, and notes which of them the target doesn't have:
-  /// the oldest ones, if it has fewer.
+  /// target when it was made.
   /// @param round_trip Round trip to the target.
   void CheckDelivery(Duration round_trip, TimePoint now);
 
-  /// Returns true if the target doesn't have the attempt that was sent at
-  /// `started`, and its response can't be on its way either.
+  /// Returns true if load reports prove that the target doesn't have the
+  /// attempt that was sent at `started`, and its response can't be on its way
+  /// either. Only reports without any call prove it: otherwise the attempt may
+  /// be among the calls that they count.
   [[nodiscard]] bool IsLost(TimePoint started, TimePoint now) const;
 
   /// Returns true if a load report since `since` showed calls that wait for a
--- a/test/kingcupshed/placement/silent_attempts.cc
+++ b/test/kingcupshed/placement/silent_attempts.cc
@@ -91,6 +91,41 @@
   BOOST_TEST(probes < 20);
 }
 
+// Guards against an at-most-once call that is given up at work because its
+// target doesn't count a response that this VM still forwards to a slow caller.
+BOOST_AUTO_TEST_CASE(CallAtWorkIsKeptWhileAnotherResponseIsForwarded) {
+  AddTargets(1);
+  const TargetId target = StartAtFullTarget(1, table::Semantics::kAtMostOnce);
+  SetLoad(ToIndex(target), 1, 0, 1.0);
+  const auto placed = Arrive(MakeLongCall(2, table::Semantics::kIdempotent));
+  const StartAttempt* start = FindStart(placed);
+  BOOST_REQUIRE(start != nullptr);
+  (void)Handle(
+      dispatch::ResponseStarted{CallId{2}, start->attempt, loads[target], {}});
+  BOOST_TEST(Wait(kDeadline).empty());
+}
+
+// Guards against an at-most-once call that is given up at work because another
+// call of this VM did not reach the target: the load doesn't tell which one
+// did.
+BOOST_AUTO_TEST_CASE(CallAtWorkIsKeptWhenTheTargetDroppedAnother) {
+  AddTargets(1);
+  const TargetId target = StartAtFullTarget(1, table::Semantics::kAtMostOnce);
+  SetLoad(ToIndex(target), 1, 0, 1.0);
+  const auto placed = Arrive(MakeLongCall(2, table::Semantics::kAtMostOnce));
+  const StartAttempt* start = FindStart(placed);
+  BOOST_REQUIRE(start != nullptr);
+  BOOST_TEST(Wait(milliseconds(1500)).empty());
+  // The first call ends, so the second one is not at the target.
+  SetLoad(ToIndex(target), 0, 0, 1.0);
+  (void)Handle(
+      dispatch::ResponseStarted{CallId{1}, AttemptId{0}, loads[target], {}});
+  const auto actions = Wait(kDeadline);
+  const auto* cancel = FindAction<CancelAttempt>(actions);
+  BOOST_REQUIRE(cancel != nullptr);
+  BOOST_TEST((cancel->call == CallId{2}));
+}
+
 // A target that is only silent, or slow to report, keeps its work.
 BOOST_AUTO_TEST_CASE(SilentTargetKeepsItsAtMostOnceCall) {
   AddTargets(2);
