A call whose response arrives isn't taken for lost

What callers saw: a call whose target sends the head of its response at once and the body over 2 s got a 502 after half a second, and the target was cut off.

Cause: placement learns of a response only when a short body is complete. Until then the attempt counted as silent, and reports of a target that has finished the work, and so doesn't count the call, were taken for a proof of its loss.

Ruled out: the limit on bodies (the log has attempt_dropped, not attempt_lost, and the call ends before 3 s); the counting of forwarded responses (no other call was at the target).

The HTTP side now announces the head of a response whose body is still to come; most responses come in one piece and cost no event. Such an attempt is neither probed for nor ended by load reports. Its end is the call's deadline.

SlowResponseTest/CallWhoseResponseArrivesIsNotTakenForLost failed without the announcement, at-most-once and idempotent work, each a 502, and passes.

--- a/src/kingcupshed/dispatch/events.h
+++ b/src/kingcupshed/dispatch/events.h
@@ -64,7 +64,15 @@
   bool known = false;
 };
 
-/// The header of an attempt's response arrived.
+/// The head of an attempt's response arrived, and its body is still to come.
+/// The target has the call, and the attempt may still fail.
+struct ResponseHeadReceived {
+  CallId call{};
+  AttemptId attempt{};
+};
+
+/// A response was chosen for the caller. A short one is complete by then; of a
+/// long one the start has arrived.
 struct ResponseStarted {
   CallId call{};
   AttemptId attempt{};
@@ -108,6 +116,7 @@
 
 /// Input of a scheduler, besides its configuration.
 using Event = std::variant<CallArrived,
+                           ResponseHeadReceived,
                            ResponseStarted,
                            AttemptEnded,
                            CallAbandoned,
--- a/src/kingcupshed/dispatch/internal/attempts.cc
+++ b/src/kingcupshed/dispatch/internal/attempts.cc
@@ -39,6 +39,10 @@
 
 }  // namespace
 
+void Engine::On(const ResponseHeadReceived& /*received*/) {
+  // No attempt is taken for lost here, so there is nothing to learn.
+}
+
 void Engine::On(const ResponseStarted& started) {
   Call* call = calls_.Find(started.call);
   if (call == nullptr || ToIndex(started.attempt) >= call->attempts.size()) {
--- a/src/kingcupshed/dispatch/internal/engine.h
+++ b/src/kingcupshed/dispatch/internal/engine.h
@@ -40,6 +40,7 @@
 
  private:
   void On(const CallArrived& arrived);
+  void On(const ResponseHeadReceived& received);
   void On(const ResponseStarted& started);
   void On(const AttemptEnded& ended);
   void On(const CallAbandoned& abandoned);
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -331,8 +331,13 @@
   body_.clear();
   // A target whose body comes slowly, or pauses, is still at work.
   lease_->stream.expires_at(request_.deadline + kDeadlineMargin);
+  bool announced = false;
   while (!response_->is_done() &&
          body_.size() < request_.max_buffered_response_bytes) {
+    if (!announced && lease_->buffer.size() == 0) {
+      on_head_(id_);
+      announced = true;
+    }
     response_->get().body().data = chunk.data();
     response_->get().body().size = chunk.size();
     boost::system::error_code error;
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -46,12 +47,14 @@
           TargetId target,
           OutgoingRequest& request,
           TargetPool& pool,
-          CallStateMachine& call_state)
+          CallStateMachine& call_state,
+          std::function<void(AttemptId)> on_head)
       : id_(id),
         target_(target),
         request_(request),
         pool_(pool),
-        call_state_(call_state) {}
+        call_state_(call_state),
+        on_head_(std::move(on_head)) {}
   Attempt(const Attempt&) = delete;
   Attempt& operator=(const Attempt&) = delete;
 
@@ -114,6 +117,8 @@
   OutgoingRequest& request_;
   TargetPool& pool_;
   CallStateMachine& call_state_;
+  /// Called when the head of the response has arrived and its body has not.
+  std::function<void(AttemptId)> on_head_;
   TargetPool::Lease lease_;
   TargetConnection* connecting_ = nullptr;
   std::unique_ptr<ResponseParser> response_;
--- a/src/kingcupshed/http/internal/attempt_coordinator.cc
+++ b/src/kingcupshed/http/internal/attempt_coordinator.cc
@@ -140,8 +140,11 @@
     return;
   }
   auto& attempt = attempts_[start.attempt];
-  attempt = std::make_unique<Attempt>(start.attempt, start.target, request_,
-                                      context_.pool, call_state_);
+  attempt = std::make_unique<Attempt>(
+      start.attempt, start.target, request_, context_.pool, call_state_,
+      [this](AttemptId id) {
+        context_.driver.Post(dispatch::ResponseHeadReceived{call_, id});
+      });
   ++pending_operations_;
   asio::co_spawn(executor_, attempt->Run(),
                  [this, id = start.attempt](const std::exception_ptr& exception,
--- a/src/kingcupshed/placement/internal/engine.cc
+++ b/src/kingcupshed/placement/internal/engine.cc
@@ -110,6 +110,14 @@
   StartSearch(call);
 }
 
+void Engine::On(const dispatch::ResponseHeadReceived& received) {
+  const auto found = calls_.find(received.call);
+  if (found != calls_.end() &&
+      ToIndex(received.attempt) < found->second.attempts.size()) {
+    found->second.attempts[ToIndex(received.attempt)].head_received = true;
+  }
+}
+
 void Engine::On(const dispatch::ResponseStarted& started) {
   const auto found = calls_.find(started.call);
   if (found == calls_.end() ||
--- a/src/kingcupshed/placement/internal/engine.h
+++ b/src/kingcupshed/placement/internal/engine.h
@@ -32,6 +32,8 @@
   bool cancelled = false;
   /// True once the target is known not to have the call.
   bool lost = false;
+  /// True once the head of the response has arrived.
+  bool head_received = false;
   bool response_started = false;
 };
 
@@ -124,6 +126,7 @@
 
  private:
   void On(const dispatch::CallArrived& arrived);
+  void On(const dispatch::ResponseHeadReceived& received);
   void On(const dispatch::ResponseStarted& started);
   void On(const dispatch::AttemptEnded& ended);
   void On(const dispatch::CallAbandoned& abandoned);
--- a/src/kingcupshed/placement/internal/silence.cc
+++ b/src/kingcupshed/placement/internal/silence.cc
@@ -77,7 +77,7 @@
   for (const Attempt& attempt : call.attempts) {
     const auto target = targets_.find(attempt.target);
     const bool silent =
-        attempt.running && !attempt.response_started && !attempt.cancelled;
+        attempt.running && !attempt.head_received && !attempt.cancelled;
     if (!silent || target == targets_.end() ||
         target->second.is_avoided(now_)) {
       continue;
@@ -99,7 +99,7 @@
     for (std::size_t index = 0; index < call.attempts.size(); ++index) {
       Attempt& attempt = call.attempts[index];
       const bool silent = attempt.running && !attempt.cancelled &&
-                          attempt.target == target &&
+                          !attempt.head_received && attempt.target == target &&
                           call.check_at != TimePoint::max();
       if (!silent || !model->second.IsLost(attempt.started, now_) ||
           now_ <
--- a/test/kingcupshed/http/slow_response.cc
+++ b/test/kingcupshed/http/slow_response.cc
@@ -81,6 +81,27 @@
   BOOST_TEST(rig.aborted_requests() == 0U);
 }
 
+// Guards against a VM that takes a call for lost, and breaks it off, while the
+// target's response arrives: a target that has finished its work doesn't count
+// the call any more.
+BOOST_AUTO_TEST_CASE(CallWhoseResponseArrivesIsNotTakenForLost) {
+  constexpr std::size_t kPieces = 20;
+  RoutedServerRig rig(1);
+  rig.SetRouteTimeout(kRouteTimeout);
+  ScriptedResponse response =
+      MakeSlowResponse(kPieces, std::chrono::milliseconds(100));
+  response.counted_in_load = false;
+  for (const char* method : {"POST", "GET"}) {
+    rig.AddScriptedResponse(response);
+    const std::string path =
+        std::string(method) == "GET" ? "/read/x" : "/write/x";
+    const std::string received = rig.Exchange(MakeSlowRequest(method, path));
+    BOOST_TEST(IsWhole(received, kPieces), received);
+  }
+  BOOST_TEST(rig.requests().size() == 2U);
+  BOOST_TEST(rig.aborted_requests() == 0U);
+}
+
 // A body that stops coming delays an idempotent call no longer than a head that
 // doesn't come: another target serves it, and the first one isn't cut off
 // before that.
