At-most-once work is awaited on an old connection, too

What callers saw (product's own interface): an at-most-once call on a reused connection ended with an unknown outcome after four times the slowest recent response, 400 ms at least, while its target was at work on it.

Cause: a late response on a reused connection ends the exchange so that the request can be sent again on a new one. At-most-once work isn't sent again, but its exchange was ended all the same.

Ruled out: the deadline (1.9 s, the response came after 1 s); routed calls, for which nothing is sent again and no response times out as late.

Now only work that can be sent again times out as late. For other work the target's idle connections are suspected at that time, as before, so a dead link is still noticed; the call itself waits until its deadline.

Promise2/LateAtMostOnceWorkIsAwaitedOnAReusedConnection failed before (the outcome was unknown), and passes.

--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -124,12 +124,19 @@
   if (!fully_sent) {
     lease_->stream.expires_after(kEarlyResponseTimeout);
   }
-  // Timing out a late response is useful only when the request can be sent
-  // again. A streamed body can't, and the time spent sending it would wrongly
-  // count as silence of the target.
+  // The time spent sending a streamed body would wrongly count as silence of
+  // the target.
   const bool replayable =
       request_.body == nullptr || request_.body->replayable();
-  co_return co_await ReadResponse(lease_->reused && replayable);
+  const bool may_be_dead = lease_->reused && replayable &&
+                           request_.header_scheme->expected_instance.empty();
+  // Ending a late exchange is useful only when the request can be sent again;
+  // otherwise the target may be at work on it.
+  asio::steady_timer late_timer(lease_->stream.get_executor());
+  if (may_be_dead && request_.at_most_once) {
+    SuspectWhenLate(late_timer);
+  }
+  co_return co_await ReadResponse(may_be_dead && !request_.at_most_once);
 }
 
 void Attempt::RecordSent(std::size_t bytes) {
@@ -215,12 +222,21 @@
   co_return !error;
 }
 
+/// Lets no other call reuse a connection that may be dead like this one.
+void Attempt::SuspectWhenLate(asio::steady_timer& timer) {
+  timer.expires_at(lease_->sent + pool_.LateThreshold(target_));
+  timer.async_wait([&pool = pool_, target = target_,
+                    sent = lease_->sent](boost::system::error_code error) {
+    if (!error) {
+      pool.Suspect(target, sent);
+    }
+  });
+}
+
 asio::awaitable<Attempt::ExchangeResult> Attempt::ReadResponse(
     bool time_out_when_late) {
   const TimePoint limit = request_.deadline + kDeadlineMargin;
   trace_.Enter(ExchangePhase::kAwaitingHead);
-  time_out_when_late =
-      time_out_when_late && request_.header_scheme->expected_instance.empty();
   if (fully_sent_) {
     const TimePoint late = lease_->sent + pool_.LateThreshold(target_);
     lease_->stream.expires_at(time_out_when_late ? std::min(late, limit)
--- a/src/kingcupshed/http/internal/attempt.h
+++ b/src/kingcupshed/http/internal/attempt.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "kingcupshed/dispatch/events.h"
 #include "kingcupshed/http/call_state_machine.h"
@@ -107,6 +108,7 @@
   asio::awaitable<bool> SendBuffered(boost::system::error_code& error);
   asio::awaitable<bool> SendStreamed(boost::system::error_code& error);
   asio::awaitable<ExchangeResult> ReadResponse(bool time_out_when_late);
+  void SuspectWhenLate(asio::steady_timer& timer);
   asio::awaitable<bool> BufferBody();
   asio::awaitable<bool> SkipForeignResponse();
   asio::awaitable<boost::system::error_code> ReadHead();
--- a/test/kingcupshed/http/server.cc
+++ b/test/kingcupshed/http/server.cc
@@ -110,6 +110,29 @@
   BOOST_TEST((rig.SendAll({call}).front().outcome == CallOutcome::kCompleted));
 }
 
+// Guards against a VM that breaks off work at its target because the response
+// is late for an old connection, though at-most-once work is not sent again.
+BOOST_AUTO_TEST_CASE(LateAtMostOnceWorkIsAwaitedOnAReusedConnection) {
+  support::ServerRig rig;
+  LoadCall call;
+  call.method = "POST";
+  call.caller = "caller";
+  call.path = "/order/case";
+  call.body = "payload";
+  call.deadline = std::chrono::milliseconds(1900);
+  call.timeout = std::chrono::seconds(10);
+  // One after the other, so that each target has an idle connection.
+  for (int warmup = 0; warmup < 10; ++warmup) {
+    BOOST_REQUIRE(rig.SendAll({call}).front().outcome ==
+                  CallOutcome::kCompleted);
+  }
+  for (standin::Target& target : rig.targets()) {
+    target.behaviour.late_delay = std::chrono::seconds(1);
+    target.behaviour.faults["late"] = 1;
+  }
+  BOOST_TEST((rig.SendAll({call}).front().outcome == CallOutcome::kCompleted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Promise3)
