A dead connection ends no other call at its target

What callers saw (product's own interface): uploads at work at their target got an unknown outcome when another call to the same target was late on an old connection and its new one worked.

Cause: TargetPool::RetireDeadConnections closed busy connections that had not worked since the late call was sent, once they were late as well. Calls that can be sent again have timed out by then on their own; what was left were those that can't: streamed uploads, at-most-once work, and responses whose body was coming.

Ruled out: the time-out of a late response itself (an upload has none); the stand-in (its connections were closed by the VM, on the code before, each time and only when a second call was late).

Now busy connections are only marked, so that they are closed when their call has ended.

--- a/src/kingcupshed/http/internal/target_pool.cc
+++ b/src/kingcupshed/http/internal/target_pool.cc
@@ -213,9 +213,9 @@
     }
     ++count;
     here->retired = true;
-    if (here->busy) {
-      here->stream.close();
-    } else {
+    // The target may be at work on the call of a busy one, which ends by
+    // itself.
+    if (!here->busy) {
       entry.connections.erase(here);
     }
   }
--- a/src/kingcupshed/http/internal/target_pool.h
+++ b/src/kingcupshed/http/internal/target_pool.h
@@ -118,8 +118,9 @@
   /// not worked since the call was sent are not reused for now.
   void Suspect(TargetId target, TimePoint sent);
 
-  /// Closes the connections that have not worked since a late call was sent,
-  /// because a new connection responded in time.
+  /// Closes the idle connections that have not worked since a late call was
+  /// sent, because a new connection responded in time. Busy ones are closed
+  /// when their calls have ended.
   /// @param sent When the late call was sent.
   void RetireDeadConnections(TargetId target, TimePoint sent);
 
--- a/test/kingcupshed/http/server.cc
+++ b/test/kingcupshed/http/server.cc
@@ -23,6 +23,8 @@
     "reset-before", "reset-during", "reset-after"};
 constexpr Duration kDeadline = std::chrono::milliseconds(25);
 constexpr Duration kLateDelay = std::chrono::milliseconds(35);
+/// Bodies over this size are not kept in memory.
+constexpr std::size_t kStreamedBytes = 64UL * 1024;
 
 LoadCall DrawCall(std::size_t call_number) {
   LoadCall call;
@@ -133,6 +135,38 @@
   BOOST_TEST((rig.SendAll({call}).front().outcome == CallOutcome::kCompleted));
 }
 
+// Guards against a VM that breaks off calls at work because another call found
+// that its own connection to their target was dead.
+BOOST_AUTO_TEST_CASE(WorkGoesOnWhenAnotherConnectionToItsTargetIsDead) {
+  support::ServerRig rig;
+  LoadCall call;
+  call.method = "POST";
+  call.caller = "caller";
+  call.path = "/lookup/case";
+  call.body = "payload";
+  call.deadline = std::chrono::milliseconds(1900);
+  call.timeout = std::chrono::seconds(10);
+  const std::size_t count = 2 * support::ServerRig::kTargetsPerService;
+  // Together, so that each target has idle connections.
+  for (const LoadResponse& response :
+       rig.SendAll(std::vector<LoadCall>(2 * count, call))) {
+    BOOST_REQUIRE(response.outcome == CallOutcome::kCompleted);
+  }
+  for (standin::Target& target : rig.targets()) {
+    target.behaviour.late_delay = std::chrono::seconds(1);
+    target.behaviour.faults["late"] = 2;
+  }
+  std::vector<LoadCall> calls(count, call);
+  // Uploads are streamed, so they can't be sent again on a new connection.
+  for (std::size_t at = 0; at < count; at += 2) {
+    calls[at].body = std::string(2 * kStreamedBytes, 'x');
+  }
+  constexpr unsigned kOk = 200;
+  for (const LoadResponse& response : rig.SendAll(calls)) {
+    BOOST_TEST(response.code == kOk);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Promise3)
