A long response ends with the time of its call

Cause: a streamed response whose length is known had no end, only a limit of 30 s for the next bytes. The end that streams without a length had came from the call's deadline, and the same now holds for all streams of a route, for reading from the target, for writing to the caller and for the requests that fetch the rest elsewhere, which had a new deadline of the whole timeout.

Ruled out: the stop and load reports (no attempt_dropped, no signal in the case).

--- a/src/kingcupshed/http/internal/body_relay.cc
+++ b/src/kingcupshed/http/internal/body_relay.cc
@@ -14,13 +14,17 @@
 /// Timeout for writing to a caller.
 constexpr Duration kCallerWriteTimeout = std::chrono::seconds(60);
 
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
 }  // namespace
 
 asio::awaitable<bool> BodyRelay::SendHead(const ResponseHead& head) {
   const beast::http::response<beast::http::empty_body> message(head);
   beast::http::response_serializer<beast::http::empty_body> serializer(message);
   boost::system::error_code error;
-  caller_.expires_after(kCallerWriteTimeout);
+  caller_.expires_at(std::min(Now() + kCallerWriteTimeout, end_));
   co_await beast::http::async_write_header(
       caller_, serializer, asio::redirect_error(asio::use_awaitable, error));
   co_return !error;
@@ -29,7 +33,7 @@
 asio::awaitable<bool> BodyRelay::SendChunk(asio::const_buffer chunk) {
   boost::system::error_code error;
   auto token = asio::redirect_error(asio::use_awaitable, error);
-  caller_.expires_after(kCallerWriteTimeout);
+  caller_.expires_at(std::min(Now() + kCallerWriteTimeout, end_));
   if (chunked_) {
     co_await asio::async_write(caller_, beast::http::make_chunk(chunk), token);
   } else {
@@ -46,17 +50,16 @@
 asio::awaitable<RelayResult> BodyRelay::Forward(beast::tcp_stream& target,
                                                 beast::flat_buffer& buffer,
                                                 ResponseParser& response,
-                                                RelayLimits limits) {
+                                                Duration idle_timeout) {
   std::array<char, kChunkBytes> chunk;
   boost::system::error_code error;
   while (!response.is_done()) {
     response.get().body().data = chunk.data();
     response.get().body().size = chunk.size();
-    const TimePoint now = std::chrono::steady_clock::now();
-    if (now >= limits.end) {
+    if (Now() >= end_) {
       co_return RelayResult::kTargetFailed;
     }
-    target.expires_at(std::min(now + limits.idle_timeout, limits.end));
+    target.expires_at(std::min(Now() + idle_timeout, end_));
     co_await beast::http::async_read_some(
         target, buffer, response,
         asio::redirect_error(asio::use_awaitable, error));
--- a/src/kingcupshed/http/internal/body_relay.h
+++ b/src/kingcupshed/http/internal/body_relay.h
@@ -18,30 +18,30 @@
   kCallerFailed,
 };
 
-/// Time limits on the forwarding of a body.
-struct RelayLimits {
-  /// Timeout for the next bytes from the target.
-  Duration idle_timeout;
-  /// When the body must be complete.
-  TimePoint end = TimePoint::max();
-};
-
 /// Forwards a long response body to the caller chunk by chunk, with
 /// backpressure.
 class BodyRelay {
  public:
   /// @param copy_limit Maximum number of leading body bytes to keep a copy of.
-  BodyRelay(beast::tcp_stream& caller, bool chunked, std::size_t copy_limit)
-      : caller_(caller), chunked_(chunked), copy_limit_(copy_limit) {}
+  /// @param end When the forwarding ends, complete or not.
+  BodyRelay(beast::tcp_stream& caller,
+            bool chunked,
+            std::size_t copy_limit,
+            TimePoint end)
+      : caller_(caller),
+        chunked_(chunked),
+        copy_limit_(copy_limit),
+        end_(end) {}
 
   /// Sends the response head to the caller.
   [[nodiscard]] asio::awaitable<bool> SendHead(const ResponseHead& head);
 
   /// Forwards the rest of a response body.
+  /// @param idle_timeout Timeout for the next bytes from the target.
   [[nodiscard]] asio::awaitable<RelayResult> Forward(beast::tcp_stream& target,
                                                      beast::flat_buffer& buffer,
                                                      ResponseParser& response,
-                                                     RelayLimits limits);
+                                                     Duration idle_timeout);
 
   /// Forwards bytes that were read before.
   /// @return False when the connection to the caller failed.
@@ -61,6 +61,7 @@
   beast::tcp_stream& caller_;
   bool chunked_;
   std::size_t copy_limit_;
+  TimePoint end_;
   std::uint64_t forwarded_bytes_ = 0;
   std::string copy_;
 };
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -433,7 +433,9 @@
   const auto length = response.content_length();
   const bool chunked = !length;
   const bool resumable = length && IsResumable(head);
-  BodyRelay relay(caller_, chunked, claimed_ ? kMaxBufferedBodyBytes : 0);
+  // Without a route the deadline covers the head only.
+  const TimePoint end = IsRouted() ? outgoing_.deadline : TimePoint::max();
+  BodyRelay relay(caller_, chunked, claimed_ ? kMaxBufferedBodyBytes : 0, end);
   beast::http::response<beast::http::empty_body> caller_response(head);
   if (length) {
     caller_response.content_length(*length);
@@ -449,14 +451,9 @@
     started = co_await relay.ForwardBuffered(attempt.body());
   }
   if (started) {
-    RelayLimits limits{resumable ? kResumableBodyIdleTimeout
-                                 : kBodyIdleTimeout};
-    if (IsRouted() && !length) {
-      // Nothing else ends a body whose length is not known.
-      limits.end = outgoing_.deadline;
-    }
-    result = co_await relay.Forward(attempt.lease()->stream,
-                                    attempt.lease()->buffer, response, limits);
+    result = co_await relay.Forward(
+        attempt.lease()->stream, attempt.lease()->buffer, response,
+        resumable ? kResumableBodyIdleTimeout : kBodyIdleTimeout);
   }
   streaming_source_ = nullptr;
   attempt.AddForwardedBytes(relay.forwarded_bytes());
@@ -486,7 +483,8 @@
 }
 
 /// Fetches the rest of the body from other targets, by range requests that the
-/// dispatcher treats as new calls of the same row.
+/// dispatcher treats as new calls. Those of a row have a deadline of their own;
+/// those of a route have what is left of the call's time.
 asio::awaitable<bool> Call::Resume(BodyRelay& relay,
                                    const ResponseHead& head,
                                    std::uint64_t total) {
@@ -496,7 +494,9 @@
   while (resumes_without_progress < kMaxResumesWithoutProgress &&
          !caller_disconnected_) {
     const std::uint64_t from = relay.forwarded_bytes();
-    outgoing_.deadline = Now() + row_deadline_;
+    if (!IsRouted()) {
+      outgoing_.deadline = Now() + row_deadline_;
+    }
     outgoing_.head.set(beast::http::field::range,
                        "bytes=" + std::to_string(from) + "-");
     outgoing_.head.set(beast::http::field::if_range, tag);
@@ -527,7 +527,7 @@
       streaming_source_ = &attempt->lease()->stream;
       result = co_await relay.Forward(attempt->lease()->stream,
                                       attempt->lease()->buffer, response,
-                                      {kResumableBodyIdleTimeout});
+                                      kResumableBodyIdleTimeout);
       streaming_source_ = nullptr;
     }
     attempt->AddForwardedBytes(relay.forwarded_bytes() - from);
--- a/test/kingcupshed/http/slow_response.cc
+++ b/test/kingcupshed/http/slow_response.cc
@@ -102,6 +102,34 @@
   BOOST_TEST(rig.aborted_requests() == 0U);
 }
 
+// Guards against a VM that holds a caller without an end when the target of a
+// long response of known length hangs in its body, or sends a byte now and
+// then.
+BOOST_AUTO_TEST_CASE(LongResponseEndsWithTheTimeOfTheCall) {
+  constexpr Duration kTimeout = std::chrono::milliseconds(700);
+  constexpr Duration kMaxDelay = std::chrono::milliseconds(500);
+  constexpr std::size_t kLongBodyBytes = 400UL * 1024;
+  constexpr std::size_t kPieces = 200;
+  for (const Duration interval : {Duration(std::chrono::seconds(60)),
+                                  Duration(std::chrono::milliseconds(50))}) {
+    RoutedServerRig rig(1);
+    rig.SetRouteTimeout(kTimeout);
+    ScriptedResponse response;
+    response.bytes =
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+        "Content-Length: " +
+        std::to_string(kLongBodyBytes + kPieces) + "\r\n\r\n" +
+        std::string(kLongBodyBytes, 'x');
+    response.pieces.assign(kPieces, "x");
+    response.piece_interval = interval;
+    rig.AddScriptedResponse(response);
+    const auto exchange = rig.StartExchange(MakeSlowRequest("GET", "/read/x"));
+    rig.RunFor(kTimeout + kMaxDelay);
+    BOOST_TEST(exchange->second);
+    BOOST_TEST(exchange->first.size() > kLongBodyBytes);
+  }
+}
+
 // A body that stops coming delays an idempotent call no longer than a head that
 // doesn't come: another target serves it, and the first one isn't cut off
 // before that.
