A target that pauses in a long response is left only for one that responds

What callers saw: a resumable download whose target sent nothing for 3 s was broken off if no other target could send the rest, though its target was at work and its time was not over.

Cause: the limit of 3 s for the next bytes closed the connection before the rest was asked for elsewhere.

Ruled out: the end by the deadline (8 s, the break came after 3 s).

Now the relay waits for bytes beside a timer that closes nothing. After the pause, 3 s or half of the time left, the rest is asked for elsewhere, and the first target is left only when another has responded with it. A routed stream that can't be resumed has no limit on pauses but its deadline.

SlowResponseTest/PauseOfTheOnlyTargetBreaksOffNoLongResponse failed before (the end of the body was missing), and passes; system/Promise2, with the kill of a download's target, passes.

--- a/src/kingcupshed/http/internal/body_relay.cc
+++ b/src/kingcupshed/http/internal/body_relay.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -18,6 +20,20 @@
   return std::chrono::steady_clock::now();
 }
 
+/// Waits until the target has sent bytes or closed the connection.
+/// @return False if neither happened in time.
+asio::awaitable<bool> AwaitBytes(beast::tcp_stream& target, Duration timeout) {
+  using asio::experimental::awaitable_operators::operator||;
+  asio::steady_timer timer(target.get_executor(), timeout);
+  boost::system::error_code error;
+  const auto first =
+      co_await (target.socket().async_wait(
+                    asio::ip::tcp::socket::wait_read,
+                    asio::redirect_error(asio::use_awaitable, error)) ||
+                timer.async_wait(asio::use_awaitable));
+  co_return first.index() == 0;
+}
+
 }  // namespace
 
 asio::awaitable<bool> BodyRelay::SendHead(const ResponseHead& head) {
@@ -59,6 +75,13 @@
     if (Now() >= end_) {
       co_return RelayResult::kTargetFailed;
     }
+    const bool readable =
+        buffer.size() > 0 ||
+        co_await AwaitBytes(target, std::min(idle_timeout, end_ - Now()));
+    if (!readable) {
+      co_return Now() >= end_ ? RelayResult::kTargetFailed
+                              : RelayResult::kTargetSilent;
+    }
     target.expires_at(std::min(Now() + idle_timeout, end_));
     co_await beast::http::async_read_some(
         target, buffer, response,
--- a/src/kingcupshed/http/internal/body_relay.h
+++ b/src/kingcupshed/http/internal/body_relay.h
@@ -13,8 +13,11 @@
 /// How the forwarding of a body ended.
 enum class RelayResult : std::uint8_t {
   kComplete,
-  /// The target's response ended early or is malformed.
+  /// The target's response ended early or is malformed, or time ran out.
   kTargetFailed,
+  /// No bytes came within the idle timeout. The connection is still open, and
+  /// forwarding can continue.
+  kTargetSilent,
   kCallerFailed,
 };
 
--- a/src/kingcupshed/http/internal/call.cc
+++ b/src/kingcupshed/http/internal/call.cc
@@ -429,10 +429,12 @@
 /// another target if the response allows it.
 asio::awaitable<bool> Call::StreamResponse(Attempt& attempt,
                                            ResponseHead head) {
-  ResponseParser& response = attempt.response();
-  const auto length = response.content_length();
+  const auto length = attempt.response().content_length();
   const bool chunked = !length;
-  const bool resumable = length && IsResumable(head);
+  std::optional<std::uint64_t> resumable_length;
+  if (length && IsResumable(head)) {
+    resumable_length = *length;
+  }
   // Without a route the deadline covers the head only.
   const TimePoint end = IsRouted() ? outgoing_.deadline : TimePoint::max();
   BodyRelay relay(caller_, chunked, claimed_ ? kMaxBufferedBodyBytes : 0, end);
@@ -451,29 +453,22 @@
     started = co_await relay.ForwardBuffered(attempt.body());
   }
   if (started) {
-    result = co_await relay.Forward(
-        attempt.lease()->stream, attempt.lease()->buffer, response,
-        resumable ? kResumableBodyIdleTimeout : kBodyIdleTimeout);
+    result = co_await ForwardBody(relay, attempt, head, resumable_length);
   }
   streaming_source_ = nullptr;
-  attempt.AddForwardedBytes(relay.forwarded_bytes());
   const bool copied_completely = result == RelayResult::kComplete &&
                                  relay.forwarded_bytes() == relay.copy().size();
   FinishKey(copied_completely ? Outcome::kRan : Outcome::kUnknown,
-            {response.get().result_int(),
-             std::string(GetField(head, "Content-Type")), relay.copy()});
+            {head.result_int(), std::string(GetField(head, "Content-Type")),
+             relay.copy()});
   if (result == RelayResult::kComplete) {
     coordinator_->Finish(AttemptResult::kCompleted);
     co_return keep_alive;
   }
   const bool target_failed =
-      result == RelayResult::kTargetFailed && !caller_disconnected_;
-  attempt.lease().Close();
+      result != RelayResult::kCallerFailed && !caller_disconnected_;
   coordinator_->Finish(target_failed ? AttemptResult::kLost
                                      : AttemptResult::kCancelled);
-  if (target_failed && resumable && co_await Resume(relay, head, *length)) {
-    co_return keep_alive;
-  }
   server_.Record("answer_broken_off", outgoing_.call, "", service_name_,
                  target_failed ? "target lost" : "caller gone");
   // Closing the caller's connection signals that the body is incomplete.
@@ -482,71 +477,115 @@
   co_return false;
 }
 
-/// Fetches the rest of the body from other targets, by range requests that the
-/// dispatcher treats as new calls. Those of a row have a deadline of their own;
-/// those of a route have what is left of the call's time.
-asio::awaitable<bool> Call::Resume(BodyRelay& relay,
-                                   const ResponseHead& head,
-                                   std::uint64_t total) {
-  const std::string tag(GetField(head, "ETag"));
-  std::uint64_t before = relay.forwarded_bytes();
+/// Forwards the rest of a body. If the target fails, or is silent for long, the
+/// rest is fetched from another one where the response allows it. A silent
+/// target may be at work: it is left only for one that has responded.
+/// @param total Length of the whole body if it may be fetched in parts.
+asio::awaitable<RelayResult> Call::ForwardBody(
+    BodyRelay& relay,
+    Attempt& first,
+    const ResponseHead& head,
+    std::optional<std::uint64_t> total) {
+  Attempt* source = &first;
   int resumes_without_progress = 0;
-  while (resumes_without_progress < kMaxResumesWithoutProgress &&
-         !caller_disconnected_) {
-    const std::uint64_t from = relay.forwarded_bytes();
-    if (!IsRouted()) {
-      outgoing_.deadline = Now() + row_deadline_;
+  for (;;) {
+    const std::uint64_t before = relay.forwarded_bytes();
+    const RelayResult result =
+        co_await ForwardFrom(relay, *source, total.has_value());
+    if (result == RelayResult::kTargetSilent && !total && IsRouted()) {
+      continue;
     }
-    outgoing_.head.set(beast::http::field::range,
-                       "bytes=" + std::to_string(from) + "-");
-    outgoing_.head.set(beast::http::field::if_range, tag);
-    coordinator_ = MakeCoordinator();
-    Attempt* attempt = co_await coordinator_->Run(MakeArrival());
-    if (attempt == nullptr) {
-      co_return false;
+    const bool done = result == RelayResult::kComplete ||
+                      result == RelayResult::kCallerFailed ||
+                      (IsRouted() && Now() >= outgoing_.deadline);
+    if (done || !total || caller_disconnected_) {
+      co_return result;
     }
-    ResponseParser& response = attempt->response();
-    const auto range =
-        ParseContentRange(GetField(response.get(), "Content-Range"));
-    if (response.get().result_int() != 206 || !range || range->first != from ||
-        range->last + 1 != total || range->total != total ||
-        GetField(response.get(), "ETag") != tag ||
-        response.content_length() != total - from) {
-      coordinator_->Finish(AttemptResult::kCancelled);
-      co_return false;
+    resumes_without_progress =
+        relay.forwarded_bytes() > before ? 0 : resumes_without_progress + 1;
+    if (resumes_without_progress > kMaxResumesWithoutProgress) {
+      co_return result;
     }
-    server_.Record("answer_resumed", outgoing_.call,
-                   server_.context.target_name(attempt->target()),
-                   service_name_, "from byte " + std::to_string(from));
-    RelayResult result = RelayResult::kComplete;
-    if (response.is_done()) {
-      result = co_await relay.ForwardBuffered(attempt->body())
-                   ? RelayResult::kComplete
-                   : RelayResult::kCallerFailed;
-    } else {
-      streaming_source_ = &attempt->lease()->stream;
-      result = co_await relay.Forward(attempt->lease()->stream,
-                                      attempt->lease()->buffer, response,
-                                      kResumableBodyIdleTimeout);
-      streaming_source_ = nullptr;
+    std::unique_ptr<AttemptCoordinator> previous = std::move(coordinator_);
+    Attempt* const previous_source = source;
+    if (result == RelayResult::kTargetFailed) {
+      source->lease().Close();
+      previous->Finish(AttemptResult::kLost);
     }
-    attempt->AddForwardedBytes(relay.forwarded_bytes() - from);
-    if (result == RelayResult::kComplete) {
-      coordinator_->Finish(AttemptResult::kCompleted);
-      co_return true;
+    source = co_await FetchRest(head, relay.forwarded_bytes(), *total);
+    if (source != nullptr) {
+      previous_source->lease().Close();
+      previous->Finish(AttemptResult::kLost);
+      continue;
     }
-    attempt->lease().Close();
-    coordinator_->Finish(result == RelayResult::kTargetFailed
-                             ? AttemptResult::kLost
-                             : AttemptResult::kCancelled);
-    if (result == RelayResult::kCallerFailed) {
-      co_return false;
+    if (result == RelayResult::kTargetFailed) {
+      co_return result;
     }
-    resumes_without_progress =
-        relay.forwarded_bytes() > before ? 0 : resumes_without_progress + 1;
-    before = relay.forwarded_bytes();
+    coordinator_ = std::move(previous);
+    source = previous_source;
+    total.reset();
   }
-  co_return false;
+}
+
+/// Forwards what one target sends.
+asio::awaitable<RelayResult> Call::ForwardFrom(BodyRelay& relay,
+                                               Attempt& source,
+                                               bool resumable) {
+  const std::uint64_t from = relay.forwarded_bytes();
+  RelayResult result = RelayResult::kComplete;
+  if (source.response().is_done()) {
+    result = co_await relay.ForwardBuffered(source.body())
+                 ? RelayResult::kComplete
+                 : RelayResult::kCallerFailed;
+  } else {
+    Duration idle_timeout =
+        resumable ? kResumableBodyIdleTimeout : kBodyIdleTimeout;
+    if (resumable && IsRouted()) {
+      // Leaves another target as much time as this one has had in silence.
+      idle_timeout = std::min(idle_timeout, (outgoing_.deadline - Now()) / 2);
+    }
+    streaming_source_ = &source.lease()->stream;
+    result =
+        co_await relay.Forward(source.lease()->stream, source.lease()->buffer,
+                               source.response(), idle_timeout);
+  }
+  source.AddForwardedBytes(relay.forwarded_bytes() - from);
+  co_return result;
+}
+
+/// Fetches the rest of a body from another target, by a range request that the
+/// dispatcher treats as a new call. That of a row has a deadline of its own;
+/// that of a route has what is left of the call's time.
+/// @return The attempt with the rest, or null if there is none.
+asio::awaitable<Attempt*> Call::FetchRest(const ResponseHead& head,
+                                          std::uint64_t from,
+                                          std::uint64_t total) {
+  const std::string tag(GetField(head, "ETag"));
+  if (!IsRouted()) {
+    outgoing_.deadline = Now() + row_deadline_;
+  }
+  outgoing_.head.set(beast::http::field::range,
+                     "bytes=" + std::to_string(from) + "-");
+  outgoing_.head.set(beast::http::field::if_range, tag);
+  coordinator_ = MakeCoordinator();
+  Attempt* attempt = co_await coordinator_->Run(MakeArrival());
+  if (attempt == nullptr) {
+    co_return nullptr;
+  }
+  ResponseParser& response = attempt->response();
+  const auto range =
+      ParseContentRange(GetField(response.get(), "Content-Range"));
+  if (response.get().result_int() != 206 || !range || range->first != from ||
+      range->last + 1 != total || range->total != total ||
+      GetField(response.get(), "ETag") != tag ||
+      response.content_length() != total - from) {
+    coordinator_->Finish(AttemptResult::kCancelled);
+    co_return nullptr;
+  }
+  server_.Record("answer_resumed", outgoing_.call,
+                 server_.context.target_name(attempt->target()), service_name_,
+                 "from byte " + std::to_string(from));
+  co_return attempt;
 }
 
 }  // namespace kingcupshed::http
--- a/src/kingcupshed/http/internal/call.h
+++ b/src/kingcupshed/http/internal/call.h
@@ -41,9 +41,16 @@
   asio::awaitable<bool> ForwardBufferedResponse(Attempt& attempt,
                                                 ResponseHead head);
   asio::awaitable<bool> StreamResponse(Attempt& attempt, ResponseHead head);
-  asio::awaitable<bool> Resume(BodyRelay& relay,
-                               const ResponseHead& head,
-                               std::uint64_t total);
+  asio::awaitable<RelayResult> ForwardBody(BodyRelay& relay,
+                                           Attempt& first,
+                                           const ResponseHead& head,
+                                           std::optional<std::uint64_t> total);
+  asio::awaitable<RelayResult> ForwardFrom(BodyRelay& relay,
+                                           Attempt& source,
+                                           bool resumable);
+  asio::awaitable<Attempt*> FetchRest(const ResponseHead& head,
+                                      std::uint64_t from,
+                                      std::uint64_t total);
   void FinishKey(Outcome outcome, CachedResponse response);
   void PrepareRequest();
   void HandleCallerDisconnected();
--- a/test/kingcupshed/http/slow_response.cc
+++ b/test/kingcupshed/http/slow_response.cc
@@ -130,6 +130,35 @@
   }
 }
 
+// Guards against a VM that breaks off a long response because its target
+// pauses, though no other target can send the rest: it looks for one, and waits
+// on.
+BOOST_AUTO_TEST_CASE(PauseOfTheOnlyTargetBreaksOffNoLongResponse) {
+  constexpr Duration kPause = std::chrono::milliseconds(3600);
+  constexpr std::size_t kLongBodyBytes = 400UL * 1024;
+  RoutedServerRig rig(1);
+  rig.SetRouteTimeout(kRouteTimeout);
+  ScriptedResponse response;
+  response.bytes =
+      "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+      "ETag: \"one\"\r\nContent-Length: " +
+      std::to_string(kLongBodyBytes + 3) + "\r\n\r\n" +
+      std::string(kLongBodyBytes, 'x');
+  response.pieces = {"end"};
+  response.piece_interval = kPause;
+  rig.AddScriptedResponse(response);
+  // The request for the rest is refused.
+  rig.AddScriptedResponse(
+      {"HTTP/1.1 503 Refused\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n"
+       "Content-Length: 0\r\n\r\n"});
+  const std::string received = rig.Exchange(
+      "GET /read/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+      "Deadline-Ms: 8000\r\nConnection: close\r\n\r\n");
+  BOOST_TEST(received.size() > kLongBodyBytes);
+  BOOST_TEST(received.ends_with("xend"));
+  BOOST_TEST(rig.requests().size() >= 2U);
+}
+
 // A body that stops coming delays an idempotent call no longer than a head that
 // doesn't come: another target serves it, and the first one isn't cut off
 // before that.
