A stream forgets the connection of a target that it has left

The reference is dropped where the connection is closed, in one place for targets that fail and those that are left.

SlowResponseTest/CallerMayLeaveWhileTheRestOfItsResponseIsFetched plays it.

--- a/src/kingcupshed/http/internal/call.h
+++ b/src/kingcupshed/http/internal/call.h
@@ -45,6 +45,7 @@
                                            Attempt& first,
                                            const ResponseHead& head,
                                            std::optional<std::uint64_t> total);
+  void LeaveSource(AttemptCoordinator& coordinator, Attempt& source);
   asio::awaitable<RelayResult> ForwardFrom(BodyRelay& relay,
                                            Attempt& source,
                                            bool resumable);
--- a/src/kingcupshed/http/internal/call_stream.cc
+++ b/src/kingcupshed/http/internal/call_stream.cc
@@ -117,13 +117,13 @@
     std::unique_ptr<AttemptCoordinator> previous = std::move(coordinator_);
     Attempt* const previous_source = source;
     if (result == RelayResult::kTargetFailed) {
-      source->lease().Close();
-      previous->Finish(AttemptResult::kLost);
+      LeaveSource(*previous, *source);
     }
     source = co_await FetchRest(head, relay.forwarded_bytes(), *total);
     if (source != nullptr) {
-      previous_source->lease().Close();
-      previous->Finish(AttemptResult::kLost);
+      if (result == RelayResult::kTargetSilent) {
+        LeaveSource(*previous, *previous_source);
+      }
       continue;
     }
     if (result == RelayResult::kTargetFailed) {
@@ -135,6 +135,13 @@
   }
 }
 
+/// Closes the connection to a target whose body was not read to its end.
+void Call::LeaveSource(AttemptCoordinator& coordinator, Attempt& source) {
+  streaming_source_ = nullptr;
+  source.lease().Close();
+  coordinator.Finish(AttemptResult::kLost);
+}
+
 /// Forwards what one target sends.
 asio::awaitable<RelayResult> Call::ForwardFrom(BodyRelay& relay,
                                                Attempt& source,
--- a/test/kingcupshed/http/slow_response.cc
+++ b/test/kingcupshed/http/slow_response.cc
@@ -159,6 +159,31 @@
   BOOST_TEST(rig.requests().size() >= 2U);
 }
 
+// Guards against the use of a closed connection when the caller leaves while
+// the rest of its response is fetched from another target.
+BOOST_AUTO_TEST_CASE(CallerMayLeaveWhileTheRestOfItsResponseIsFetched) {
+  constexpr std::size_t kLongBodyBytes = 400UL * 1024;
+  RoutedServerRig rig(2);
+  rig.SetRouteTimeout(kRouteTimeout);
+  ScriptedResponse broken;
+  broken.bytes =
+      "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+      "ETag: \"one\"\r\nContent-Length: " +
+      std::to_string(2 * kLongBodyBytes) + "\r\n\r\n" +
+      std::string(kLongBodyBytes, 'x');
+  broken.close = true;
+  rig.AddScriptedResponse(broken);
+  rig.AddScriptedResponse(
+      {.bytes = RoutedServerRig::MakeResponse("late"), .hold_response = true});
+  rig.SendAndDisconnect(
+      "GET /read/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+      "Deadline-Ms: 8000\r\n\r\n",
+      2);
+  rig.RunUntil([&] { return rig.aborted_requests() == 1U; });
+  BOOST_TEST(rig.Exchange(RoutedServerRig::MakeRequest("GET", "/read/x", "r2"))
+                 .ends_with("fine"));
+}
+
 // A body that stops coming delays an idempotent call no longer than a head that
 // doesn't come: another target serves it, and the first one isn't cut off
 // before that.
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -110,10 +110,10 @@
     return response;
   }
 
-  /// Sends bytes on a new connection and closes it once the request has reached
-  /// a target.
-  void SendAndDisconnect(std::string bytes) {
-    const std::size_t reached = requests_.size() + 1;
+  /// Sends bytes on a new connection and closes it once as many requests as
+  /// given have reached targets.
+  void SendAndDisconnect(std::string bytes, std::size_t requests = 1) {
+    const std::size_t reached = requests_.size() + requests;
     asio::ip::tcp::socket socket(io_);
     socket.connect({asio::ip::make_address(prefix_ + ".1"), 8080});
     asio::write(socket, asio::buffer(bytes));
