--- a/test/kingcupshed/http/server.cc
+++ b/test/kingcupshed/http/server.cc
@@ -47,6 +47,27 @@
   return call;
 }
 
+LoadCall MakePost(std::string path) {
+  LoadCall call;
+  call.method = "POST";
+  call.caller = "caller";
+  call.path = std::move(path);
+  call.body = "payload";
+  call.deadline = std::chrono::milliseconds(1900);
+  call.timeout = std::chrono::seconds(10);
+  return call;
+}
+
+/// Sends a call so often, one after the other, that each target has an idle
+/// connection.
+void SendOneByOne(support::ServerRig& rig, const LoadCall& call) {
+  constexpr int kCalls = 10;
+  for (int sent = 0; sent < kCalls; ++sent) {
+    BOOST_REQUIRE(rig.SendAll({call}).front().outcome ==
+                  CallOutcome::kCompleted);
+  }
+}
+
 void DrawFaults(support::ServerRig& rig) {
   for (standin::Target& target : rig.targets()) {
     target.behaviour.late_delay = kLateDelay;
@@ -95,17 +116,8 @@
 // of the first response before the second one.
 BOOST_AUTO_TEST_CASE(TruncatedResponseLeavesNothingInItsReplacement) {
   support::ServerRig rig;
-  LoadCall call;
-  call.method = "POST";
-  call.caller = "caller";
-  call.path = "/lookup/case";
-  call.body = "payload";
-  call.timeout = std::chrono::seconds(10);
-  // One after the other, so that each target has an idle connection.
-  for (int warmup = 0; warmup < 10; ++warmup) {
-    BOOST_REQUIRE(rig.SendAll({call}).front().outcome ==
-                  CallOutcome::kCompleted);
-  }
+  const LoadCall call = MakePost("/lookup/case");
+  SendOneByOne(rig, call);
   for (standin::Target& target : rig.targets()) {
     target.behaviour.faults["truncate"] = 1;
   }
@@ -116,18 +128,8 @@
 // is late for an old connection, though at-most-once work is not sent again.
 BOOST_AUTO_TEST_CASE(LateAtMostOnceWorkIsAwaitedOnAReusedConnection) {
   support::ServerRig rig;
-  LoadCall call;
-  call.method = "POST";
-  call.caller = "caller";
-  call.path = "/order/case";
-  call.body = "payload";
-  call.deadline = std::chrono::milliseconds(1900);
-  call.timeout = std::chrono::seconds(10);
-  // One after the other, so that each target has an idle connection.
-  for (int warmup = 0; warmup < 10; ++warmup) {
-    BOOST_REQUIRE(rig.SendAll({call}).front().outcome ==
-                  CallOutcome::kCompleted);
-  }
+  const LoadCall call = MakePost("/order/case");
+  SendOneByOne(rig, call);
   for (standin::Target& target : rig.targets()) {
     target.behaviour.late_delay = std::chrono::seconds(1);
     target.behaviour.faults["late"] = 1;
@@ -139,13 +141,7 @@
 // that its own connection to their target was dead.
 BOOST_AUTO_TEST_CASE(WorkGoesOnWhenAnotherConnectionToItsTargetIsDead) {
   support::ServerRig rig;
-  LoadCall call;
-  call.method = "POST";
-  call.caller = "caller";
-  call.path = "/lookup/case";
-  call.body = "payload";
-  call.deadline = std::chrono::milliseconds(1900);
-  call.timeout = std::chrono::seconds(10);
+  const LoadCall call = MakePost("/lookup/case");
   const std::size_t count = 2 * support::ServerRig::kTargetsPerService;
   // Together, so that each target has idle connections.
   for (const LoadResponse& response :
--- a/test/kingcupshed/http/slow_response.cc
+++ b/test/kingcupshed/http/slow_response.cc
@@ -199,7 +199,7 @@
   BOOST_TEST((std::chrono::steady_clock::now() - start < kMaxTime));
 }
 
-// Without it a limit of the VM can't be told from a target that broke off.
+// The line distinguishes a limit of the VM from a target that broke off.
 BOOST_AUTO_TEST_CASE(LogSaysHowFarALostExchangeCame) {
   RoutedServerRig rig(1);
   const std::string whole = RoutedServerRig::MakeResponse(kPiece);
