An odd name in the list of targets hides no target and names none

What callers saw: almost no request was served after a restart of all VMs while an entry of another writer stood in the list of targets, with &, +, #, % or a blank in its name, on a list longer than one page.

Cause: the key at the end of a page went as it was into the request for the next page. With a blank the store could not read the request, and the listing began again for ever; with &, # or + it named an earlier key, and the same page came again; with % a later one, and targets between the two were skipped. Keys that are no UTF-8 made the page unreadable, and the removal of such a key made every message to other VMs unreadable, as protobuf strings have to be UTF-8. An entry with the values of a target was used under any name, which then went into header fields.

Mend: keys are escaped in the query. A listing goes on after its last key, also where the rest of that item can't be decoded. A key that is no name (letters, digits and -._~:@) names no target and no VM, and goes into no message; the log says so once (target_entry_ignored), with the key escaped. No other name can change the meaning of a URL, a header field or a message.

Evidence: the stand-in of the store now decodes queries as servers do and has pages of any length.

--- a/src/kingcupshed/daemon/store_follower.cc
+++ b/src/kingcupshed/daemon/store_follower.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <variant>
 
+#include <absl/strings/escaping.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -87,6 +89,11 @@
                       "targets_not_usable",
                       "a malformed response of another VM is ignored");
                 },
+                [this](const std::string& key) {
+                  hooks_.on_event(
+                      "target_entry_ignored",
+                      absl::CHexEscape(key) + "; the entry names no target");
+                },
                 [this](const catalog::Departure& departure) {
                   RecordDeparture(departure);
                 }}),
--- a/src/kingcupshed/daemon/target_follower.cc
+++ b/src/kingcupshed/daemon/target_follower.cc
@@ -19,6 +19,8 @@
 
 /// Several times the size of the target records of the largest fleet.
 constexpr std::size_t kMaxTargetBytes = 16UL * 1024 * 1024;
+/// Further keys of entries that name no target are not reported.
+constexpr std::size_t kMaxIgnoredKeys = 100;
 
 TimePoint Now() {
   return std::chrono::steady_clock::now();
@@ -138,22 +140,10 @@
   std::vector<std::string> names;
   for (const platform::KeyedRecord& record : page.records) {
     names.push_back(record.key);
-    if (!record.value) {
-      records_.Apply({record.offset, record.key, std::nullopt}, true, now);
-      catalog_.ApplyRemoval(record.key, record.offset, now);
-      continue;
-    }
-    auto report = platform::DecodeTarget(record.key, *record.value);
-    if (!report) {
-      continue;
-    }
-    const auto known = catalog_.targets().find(record.key);
-    const bool reports_change =
-        known == catalog_.targets().end() ||
-        catalog::ReportsChange(*report, known->second.report);
-    if (catalog_.ApplyReport(*std::move(report), record.offset, now)) {
-      records_.Apply({record.offset, record.key, record.value}, reports_change,
-                     now);
+    if (record.value) {
+      ApplyEntry(record, now);
+    } else {
+      ApplyRemoval(record, now);
     }
   }
   if (complete) {
@@ -164,6 +154,41 @@
   Advance(now);
 }
 
+void TargetFollower::ApplyEntry(const platform::KeyedRecord& record,
+                                TimePoint now) {
+  auto report = platform::DecodeTarget(record.key, *record.value);
+  if (!report) {
+    RecordIgnored(record.key);
+    return;
+  }
+  const auto known = catalog_.targets().find(record.key);
+  const bool reports_change =
+      known == catalog_.targets().end() ||
+      catalog::ReportsChange(*report, known->second.report);
+  if (catalog_.ApplyReport(*std::move(report), record.offset, now)) {
+    records_.Apply({record.offset, record.key, record.value}, reports_change,
+                   now);
+  }
+}
+
+void TargetFollower::ApplyRemoval(const platform::KeyedRecord& record,
+                                  TimePoint now) {
+  ignored_keys_.erase(record.key);
+  // Messages to other VMs can't carry keys of any bytes.
+  if (!platform::IsEntryName(record.key)) {
+    return;
+  }
+  records_.Apply({record.offset, record.key, std::nullopt}, true, now);
+  catalog_.ApplyRemoval(record.key, record.offset, now);
+}
+
+void TargetFollower::RecordIgnored(const std::string& key) {
+  if (ignored_keys_.size() < kMaxIgnoredKeys &&
+      ignored_keys_.insert(key).second) {
+    hooks_.on_ignored_entry(key);
+  }
+}
+
 /// Returns all target records, compressed once for all VMs that request them
 /// before the next read: after a power failure, whole zones do so at the same
 /// moment.
--- a/src/kingcupshed/daemon/target_follower.h
+++ b/src/kingcupshed/daemon/target_follower.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -27,6 +28,9 @@
     std::function<void()> on_targets;
     /// Called with a response of another VM that can't be decoded.
     std::function<void()> on_invalid_targets;
+    /// Called with the key of an entry that names no target, once until the
+    /// entry is removed.
+    std::function<void(const std::string& key)> on_ignored_entry;
     /// Called with a target that gets no new work from now on.
     std::function<void(const catalog::Departure&)> on_departure;
   };
@@ -76,12 +80,17 @@
 
  private:
   void Apply(const platform::KeyedPage& page, bool complete);
+  void ApplyEntry(const platform::KeyedRecord& record, TimePoint now);
+  void ApplyRemoval(const platform::KeyedRecord& record, TimePoint now);
+  void RecordIgnored(const std::string& key);
   const std::string& CompressAll();
 
   const platform::Store& store_;
   Hooks hooks_;
   catalog::TargetCatalog catalog_;
   catalog::RecordCache records_;
+  /// Keys of entries that name no target.
+  std::set<std::string> ignored_keys_;
   bool loaded_ = false;
   std::optional<LogOffset> next_offset_;
   /// All target records, compressed, and the offset that they are valid for.
--- a/src/kingcupshed/daemon/vm_directory.cc
+++ b/src/kingcupshed/daemon/vm_directory.cc
@@ -31,8 +31,9 @@
   }
   std::vector<VmEndpoint> endpoints;
   for (const platform::KeyedRecord& record : page.records) {
-    const auto entry =
-        record.value ? platform::DecodeVm(*record.value) : std::nullopt;
+    const auto entry = record.value
+                           ? platform::DecodeVm(record.key, *record.value)
+                           : std::nullopt;
     if (!entry) {
       continue;
     }
--- a/src/kingcupshed/platform/client.cc
+++ b/src/kingcupshed/platform/client.cc
@@ -170,7 +170,7 @@
   }
   std::vector<VmEntry> entries;
   for (const auto& [name, text] : vms_.values) {
-    const auto document = DecodeVm(text);
+    const auto document = DecodeVm(name, text);
     if (document) {
       entries.push_back({name, document->zone, document->address,
                          document->peer_address, document->leaving});
--- a/src/kingcupshed/platform/documents.cc
+++ b/src/kingcupshed/platform/documents.cc
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <utility>
 
+#include <absl/strings/ascii.h>
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -199,9 +201,17 @@
   return table;
 }
 
+bool IsEntryName(std::string_view key) noexcept {
+  constexpr std::string_view kMarks = "-._~:@";
+  return !key.empty() && std::all_of(key.begin(), key.end(), [&](char c) {
+    return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
+           kMarks.find(c) != std::string_view::npos;
+  });
+}
+
 std::optional<catalog::TargetReport> DecodeTarget(const std::string& name,
                                                   const std::string& text) {
-  const auto document = ParseDocument(text);
+  const auto document = IsEntryName(name) ? ParseDocument(text) : std::nullopt;
   if (!document) {
     return std::nullopt;
   }
@@ -248,8 +258,9 @@
       json::object{{"zone", zone}, {"peer_address", peer_address}});
 }
 
-std::optional<VmEntryDocument> DecodeVm(const std::string& text) {
-  const auto document = ParseDocument(text);
+std::optional<VmEntryDocument> DecodeVm(const std::string& name,
+                                        const std::string& text) {
+  const auto document = IsEntryName(name) ? ParseDocument(text) : std::nullopt;
   if (!document) {
     return std::nullopt;
   }
--- a/src/kingcupshed/platform/documents.h
+++ b/src/kingcupshed/platform/documents.h
@@ -23,6 +23,11 @@
 [[nodiscard]] std::optional<route::RouteTable> DecodeRoutes(
     const std::string& text);
 
+/// Returns whether a key of the store can be the name of a target or VM:
+/// letters, digits and `-._~:@`. Names go into header fields, URLs and
+/// messages, where other bytes could mean something else.
+[[nodiscard]] bool IsEntryName(std::string_view key) noexcept;
+
 /// Decodes a target's entry, which holds its newest heartbeat.
 /// @param name Key of the entry, the name of the target's instance.
 /// @return The heartbeat, or nothing if the entry is invalid.
@@ -44,7 +49,10 @@
 [[nodiscard]] std::string EncodeVm(const std::string& zone,
                                    const std::string& peer_address);
 
-/// Decodes the entry of a VM, or returns nothing if it is invalid.
-[[nodiscard]] std::optional<VmEntryDocument> DecodeVm(const std::string& text);
+/// Decodes the entry of a VM.
+/// @param name Key of the entry, the name of the VM.
+/// @return The registration, or nothing if the entry is invalid.
+[[nodiscard]] std::optional<VmEntryDocument> DecodeVm(const std::string& name,
+                                                      const std::string& text);
 
 }  // namespace kingcupshed::platform
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -10,11 +10,13 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/endian/conversion.hpp>
 #include <boost/json/parse.hpp>
+#include <boost/json/parse_options.hpp>
 #include <boost/json/value.hpp>
 
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/http/fetch.h"
 #include "kingcupshed/platform/json_read.h"
+#include "kingcupshed/platform/url.h"
 
 namespace kingcupshed::platform {
 
@@ -135,36 +137,41 @@
   return page;
 }
 
-KeyedPage DecodeNewest(const std::string& body, bool& more) {
-  KeyedPage page;
-  more = false;
+ListingPage DecodeNewest(const std::string& body) {
+  ListingPage listing;
+  // Keys can have any bytes.
+  json::parse_options options;
+  options.allow_invalid_utf8 = true;
   boost::system::error_code error;
-  const json::value value = json::parse(body, error);
+  const json::value value = json::parse(body, error, {}, options);
   const json::object* object = error ? nullptr : value.if_object();
   const json::array* items =
       object == nullptr ? nullptr : FindArray(*object, "items");
   const auto end =
       object == nullptr ? std::nullopt : FindUnsigned(*object, "end");
   if (items == nullptr || !end) {
-    return page;
+    return listing;
   }
-  page.status = StoreStatus::kDone;
-  page.next_offset = LogOffset{*end};
-  more = FindBool(*object, "has_more").value_or(false);
+  listing.page.status = StoreStatus::kDone;
+  listing.page.next_offset = LogOffset{*end};
+  listing.has_more = FindBool(*object, "has_more").value_or(false);
   for (const json::value& item : *items) {
     const json::object* entry = item.if_object();
     const auto key =
         entry == nullptr ? std::nullopt : FindString(*entry, "key");
-    const auto text =
-        entry == nullptr ? std::nullopt : FindString(*entry, "value");
-    const auto offset =
-        entry == nullptr ? std::nullopt : FindUnsigned(*entry, "offset");
+    if (!key) {
+      continue;
+    }
+    listing.last_key = key;
+    const auto text = FindString(*entry, "value");
+    const auto offset = FindUnsigned(*entry, "offset");
     std::string decoded;
-    if (key && text && offset && absl::Base64Unescape(*text, &decoded)) {
-      page.records.push_back({LogOffset{*offset}, *key, std::move(decoded)});
+    if (text && offset && absl::Base64Unescape(*text, &decoded)) {
+      listing.page.records.push_back(
+          {LogOffset{*offset}, *key, std::move(decoded)});
     }
   }
-  return page;
+  return listing;
 }
 
 std::string EncodeRaw(const std::string& content) {
@@ -203,35 +210,32 @@
 
 asio::awaitable<KeyedPage> Store::ReadNewest(std::string topic) const {
   KeyedPage listing;
-  std::string after;
+  std::optional<std::string> after;
   for (int page_number = 0; page_number < kMaxPages; ++page_number) {
     std::string path = "/api/log-newest?topic=" + topic + "&part=0";
-    if (!after.empty()) {
-      path += "&after=" + after;
+    if (after) {
+      path += "&after=" + EscapeQueryValue(*after);
     }
     const http::FetchResult response = co_await Send(
         CallType::kRead, MakeRequest(std::move(path), kResponseTimeout));
     if (StatusOf(response) != StoreStatus::kDone) {
       co_return KeyedPage{StatusOf(response), {}, {}};
     }
-    bool more = false;
-    KeyedPage page = DecodeNewest(response.body, more);
-    if (page.status != StoreStatus::kDone) {
-      co_return page;
+    ListingPage read = DecodeNewest(response.body);
+    if (read.page.status != StoreStatus::kDone) {
+      co_return std::move(read.page);
     }
     if (page_number == 0) {
       // Reading continues from here, which finds again the records that were
       // appended while later pages were listed.
-      listing.next_offset = page.next_offset;
-    }
-    if (!page.records.empty()) {
-      after = page.records.back().key;
+      listing.next_offset = read.page.next_offset;
     }
-    std::move(page.records.begin(), page.records.end(),
+    std::move(read.page.records.begin(), read.page.records.end(),
               std::back_inserter(listing.records));
-    if (!more || page.records.empty()) {
+    if (!read.has_more || !read.last_key) {
       break;
     }
+    after = std::move(read.last_key);
   }
   listing.status = StoreStatus::kDone;
   co_return listing;
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -46,6 +46,16 @@
   bool truncated = false;
 };
 
+/// One page of the listing of a keyed topic.
+struct ListingPage {
+  KeyedPage page;
+  /// True if the listing continues after this page.
+  bool has_more = false;
+  /// Key of the last item, even if the rest of that item can't be decoded;
+  /// nothing if no item has a key.
+  std::optional<std::string> last_key;
+};
+
 /// Result of a read of any topic; records are not decoded.
 struct RawPage {
   StoreStatus status = StoreStatus::kNotDone;
@@ -138,9 +148,9 @@
 /// @param from Offset of the first record.
 [[nodiscard]] KeyedPage DecodeRead(const std::string& body, LogOffset from);
 
-/// Decodes the response body of one page of a listing of newest records.
-/// @param more Set to true if further pages follow, to false otherwise.
-[[nodiscard]] KeyedPage DecodeNewest(const std::string& body, bool& more);
+/// Decodes the response body of one page of a listing of newest records. Items
+/// that can't be decoded are left out.
+[[nodiscard]] ListingPage DecodeNewest(const std::string& body);
 
 /// Decodes the response body of a read of any topic.
 [[nodiscard]] RawPage DecodeRawRead(const std::string& body);
--- a/standin/http_service.cc
+++ b/standin/http_service.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cstdlib>
 #include <iostream>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,6 +34,29 @@
   return text;
 }
 
+/// Decodes `%XX` and `+`, as servers do with the values of a query. An escape
+/// that is not followed by two hexadecimal digits stays as it is.
+std::string DecodeQueryValue(std::string_view text) {
+  constexpr std::size_t kEscapeSize = 3;
+  constexpr int kHexadecimal = 16;
+  std::string decoded;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    unsigned byte = 0;
+    const char* end = text.data() + at + kEscapeSize;
+    const bool escape =
+        text[at] == '%' && at + kEscapeSize <= text.size() &&
+        std::from_chars(text.data() + at + 1, end, byte, kHexadecimal).ptr ==
+            end;
+    if (escape) {
+      decoded += static_cast<char>(byte);
+      at += kEscapeSize - 1;
+    } else {
+      decoded += text[at] == '+' ? ' ' : text[at];
+    }
+  }
+  return decoded;
+}
+
 std::map<std::string, std::string> ParseQuery(const std::string& text) {
   std::map<std::string, std::string> query;
   std::size_t start = 0;
@@ -40,7 +65,7 @@
     const std::string pair = text.substr(start, end - start);
     const std::size_t equals = std::min(pair.find('='), pair.size());
     query[pair.substr(0, equals)] =
-        equals < pair.size() ? pair.substr(equals + 1) : "";
+        equals < pair.size() ? DecodeQueryValue(pair.substr(equals + 1)) : "";
     start = end + 1;
   }
   return query;
@@ -50,7 +75,8 @@
     const beast::http::request<beast::http::string_body>& message) {
   Request request;
   request.method = std::string(message.method_string());
-  const std::string target(message.target());
+  const std::string whole_target(message.target());
+  const std::string target = whole_target.substr(0, whole_target.find('#'));
   const std::size_t question_mark = std::min(target.find('?'), target.size());
   request.path = target.substr(0, question_mark);
   if (question_mark < target.size()) {
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -23,7 +23,6 @@
 namespace json = boost::json;
 
 constexpr std::size_t kMaxReadRecords = 1000;
-constexpr std::size_t kMaxNewestItems = 500;
 /// Delay of a withheld poll response: the caller sees no response while its
 /// connection stays open.
 constexpr std::chrono::hours kWithheldPollDelay{1};
@@ -90,7 +89,7 @@
   void (*apply)(PlatformControl&, const json::value&);
 };
 
-constexpr std::array<ControlKey, 11> kControlKeys{{
+constexpr std::array<ControlKey, 12> kControlKeys{{
     {"refused_senders",
      [](PlatformControl& control, const json::value& value) {
        control.refused_senders = ParseSenders(value);
@@ -131,6 +130,10 @@
      [](PlatformControl& control, const json::value& value) {
        control.retention.age = ParseMilliseconds(value);
      }},
+    {"page_items",
+     [](PlatformControl& control, const json::value& value) {
+       control.page_items = value.to_number<std::size_t>();
+     }},
     {"list_lag_ms",
      [](PlatformControl& control, const json::value& value) {
        control.list_lag = ParseMilliseconds(value);
@@ -460,7 +463,7 @@
     if (!after.empty() && key <= after) {
       continue;
     }
-    if (items.size() >= kMaxNewestItems) {
+    if (items.size() >= control_.page_items) {
       more = true;
       break;
     }
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -38,6 +38,8 @@
   /// Share of appends, 0 to 1, that take effect but get no response.
   double lose_share = 0.0;
   Retention retention;
+  /// Maximum number of items on a page of a listing.
+  std::size_t page_items = 500;
   /// Delay until a change of a target's or VM's state shows in its entry.
   std::chrono::milliseconds list_lag{};
   /// Whether waiting reads ignore appends and respond only at their deadline.
--- a/test/kingcupshed/platform/documents.cc
+++ b/test/kingcupshed/platform/documents.cc
@@ -117,6 +117,20 @@
   BOOST_TEST(!DecodeTarget("i-1", "\xff\xfe").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(RejectsNamesThatMeanSomethingElseElsewhere) {
+  const std::string vm = EncodeVm("z", "10.1.0.1:7540");
+  for (const std::string name : {"i-1", "i-7f3a91c2", "a.b:c@d_e~f"}) {
+    BOOST_TEST(DecodeTarget(name, kTarget).has_value(), name);
+    BOOST_TEST(DecodeVm(name, vm).has_value(), name);
+  }
+  for (const std::string name :
+       {"", "a&b", "a+b", "a#b", "a%b", "a b", "a/b", "a?b", "a\r\nX: y",
+        "a\x7f", "a\xff", "a\"b"}) {
+    BOOST_TEST(!DecodeTarget(name, kTarget).has_value(), name);
+    BOOST_TEST(!DecodeVm(name, vm).has_value(), name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ParsesLoadHeaders) {
   const auto load = ParseLoadHeader("3,1,8,250");
   BOOST_REQUIRE(load.has_value());
--- a/test/kingcupshed/platform/store.cc
+++ b/test/kingcupshed/platform/store.cc
@@ -53,25 +53,33 @@
 }
 
 BOOST_AUTO_TEST_CASE(DecodesAPageOfNewestRecords) {
-  bool more = false;
-  const KeyedPage page = DecodeNewest(
+  const ListingPage listing = DecodeNewest(
       R"({"items":[{"key":"config","value":"aGk=","offset":4},)"
-      R"({"key":"bad","value":"%%","offset":5}],"has_more":true,"end":6})",
-      more);
-  BOOST_TEST((page.status == StoreStatus::kDone));
-  BOOST_REQUIRE_EQUAL(page.records.size(), 1U);
-  BOOST_TEST(page.records[0].value.value() == "hi");
-  BOOST_TEST(ToIndex(page.next_offset) == 6U);
-  BOOST_TEST(more);
+      R"({"key":"bad","value":"%%","offset":5}],"has_more":true,"end":6})");
+  BOOST_TEST((listing.page.status == StoreStatus::kDone));
+  BOOST_REQUIRE_EQUAL(listing.page.records.size(), 1U);
+  BOOST_TEST(listing.page.records[0].value.value() == "hi");
+  BOOST_TEST(ToIndex(listing.page.next_offset) == 6U);
+  BOOST_TEST(listing.has_more);
+  // The listing continues after an item that can't be decoded, too.
+  BOOST_TEST(listing.last_key.value() == "bad");
+}
+
+BOOST_AUTO_TEST_CASE(DecodesAPageWithAKeyThatIsNoText) {
+  const ListingPage listing = DecodeNewest(
+      "{\"items\":[{\"key\":\"\xff\",\"value\":\"aGk=\",\"offset\":4},"
+      R"({"key":"a","value":"aGk=","offset":5},{"key":5}],"end":6})");
+  BOOST_TEST((listing.page.status == StoreStatus::kDone));
+  BOOST_TEST(listing.page.records.size() == 2U);
+  BOOST_TEST(listing.last_key.value() == "a");
 }
 
 BOOST_AUTO_TEST_CASE(RejectsMalformedResponses) {
-  bool more = false;
   BOOST_TEST(
       (DecodeRead("short", LogOffset{0}).status == StoreStatus::kNotDone));
-  BOOST_TEST((DecodeNewest("[", more).status == StoreStatus::kNotDone));
-  BOOST_TEST((DecodeNewest(R"({"items":3,"end":1})", more).status ==
-              StoreStatus::kNotDone));
+  for (const char* body : {"[", R"({"items":3,"end":1})"}) {
+    BOOST_TEST((DecodeNewest(body).page.status == StoreStatus::kNotDone), body);
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/store_rig.h
+++ b/test/support/store_rig.h
@@ -227,6 +227,16 @@
     }
   }
 
+  /// Runs the event loop until a condition holds.
+  /// @return False if it doesn't hold in time.
+  bool RunWithin(Duration bound, const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + bound;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      io_.run_one_until(end);
+    }
+    return condition();
+  }
+
   /// Runs the event loop until a condition holds.
   void RunUntil(const std::function<bool()>& condition) {
     while (!condition()) {
