A listing that isn't whole removes no target

With an odd key at the end of a page the store sent the same page 64 times, and the list was then taken for whole: targets that it lacked counted as gone.

Cause: ReadNewest gave up after 64 pages, or at a page without a usable item, and returned what it had as the whole list. A read whose response ended within a record counted as complete, too, and has_more of a wrong type as the end.

Mend: such a listing is truncated. What it shows is applied; what it lacks isn't taken for gone, the copy doesn't count as complete, and the next read lists again. A page that ends where the one before it ended leads no further, so the listing stops there and not after 64 calls.

Evidence: the stand-in can send the first page as every page.

--- a/src/kingcupshed/daemon/route_follower.cc
+++ b/src/kingcupshed/daemon/route_follower.cc
@@ -23,13 +23,17 @@
     : store_(store), hooks_(std::move(hooks)) {}
 
 asio::awaitable<TopicRead> RouteFollower::Read() {
+  const bool listing = !next_offset_;
   std::string topic(platform::kOperatorTopic);
   const KeyedPage page = co_await ReadTopic(
       store_, std::move(topic), next_offset_,
       [this](const KeyedPage& first_listing) { ApplyPage(first_listing); });
   if (page.status == StoreStatus::kDone) {
     ApplyPage(page);
-    next_offset_ = page.next_offset;
+    // A listing that is not whole may lack the routes.
+    if (!listing || !page.truncated) {
+      next_offset_ = page.next_offset;
+    }
   } else if (page.status == StoreStatus::kExpired) {
     next_offset_.reset();
   }
--- a/src/kingcupshed/daemon/target_follower.cc
+++ b/src/kingcupshed/daemon/target_follower.cc
@@ -73,7 +73,7 @@
     : store_(store), hooks_(std::move(hooks)) {}
 
 asio::awaitable<TopicRead> TargetFollower::Read() {
-  const bool complete = !next_offset_;
+  const bool listing = !next_offset_;
   std::string topic(platform::kTargetTopic);
   const KeyedPage page = co_await ReadTopic(
       store_, std::move(topic), next_offset_,
@@ -87,7 +87,11 @@
     co_return TopicRead{page.status, false};
   }
   catalog_.OnReadSucceeded(Now());
-  Apply(page, complete);
+  Apply(page, listing && !page.truncated);
+  if (listing && page.truncated) {
+    // Targets may be missing from the listing, so the next read lists again.
+    co_return TopicRead{page.status, false};
+  }
   // Another VM may have sent newer records meanwhile.
   next_offset_ = std::max(next_offset_.value_or(LogOffset{}), page.next_offset);
   co_return TopicRead{page.status, !page.truncated};
--- a/src/kingcupshed/platform/client.cc
+++ b/src/kingcupshed/platform/client.cc
@@ -121,6 +121,9 @@
   if (!cache.next_offset || page.status == StoreStatus::kExpired) {
     page = co_await store_.ReadNewest(std::move(topic));
     cache.values.clear();
+    if (page.truncated) {
+      co_return false;
+    }
   }
   if (page.status != StoreStatus::kDone) {
     co_return false;
--- a/src/kingcupshed/platform/store.cc
+++ b/src/kingcupshed/platform/store.cc
@@ -110,6 +110,7 @@
     page.contents.push_back(body.substr(at + kLengthSize, size));
     at += kLengthSize + size;
   }
+  page.cut_off = at < body.size();
   return page;
 }
 
@@ -132,8 +133,9 @@
     page.records.push_back(std::move(record));
   }
   page.next_offset = LogOffset{ToIndex(from) + page.records.size()};
-  page.truncated =
+  const bool limited =
       body.size() >= kLongResponseBytes && page.next_offset < raw.end_offset;
+  page.truncated = raw.cut_off || limited;
   return page;
 }
 
@@ -152,9 +154,13 @@
   if (items == nullptr || !end) {
     return listing;
   }
+  const auto has_more = FindBool(*object, "has_more");
+  if (object->contains("has_more") && !has_more) {
+    return listing;
+  }
   listing.page.status = StoreStatus::kDone;
   listing.page.next_offset = LogOffset{*end};
-  listing.has_more = FindBool(*object, "has_more").value_or(false);
+  listing.has_more = has_more.value_or(false);
   for (const json::value& item : *items) {
     const json::object* entry = item.if_object();
     const auto key =
@@ -232,7 +238,9 @@
     }
     std::move(read.page.records.begin(), read.page.records.end(),
               std::back_inserter(listing.records));
-    if (!read.has_more || !read.last_key) {
+    listing.truncated = read.has_more;
+    // A page that ends where the one before it ended leads no further.
+    if (!read.has_more || !read.last_key || read.last_key == after) {
       break;
     }
     after = std::move(read.last_key);
--- a/src/kingcupshed/platform/store.h
+++ b/src/kingcupshed/platform/store.h
@@ -42,7 +42,8 @@
   /// response, so this is not always the end of the log.
   LogOffset next_offset{};
   std::vector<KeyedRecord> records;
-  /// True if the response was as long as it may be, and the log holds more.
+  /// True if there are more records than these: a read was cut off, or a
+  /// listing couldn't be read to its end.
   bool truncated = false;
 };
 
@@ -64,6 +65,8 @@
   /// Offset that the next record of the log will get.
   LogOffset end_offset{};
   std::vector<std::string> contents;
+  /// True if the response ends within a record.
+  bool cut_off = false;
 };
 
 /// Result of an append.
@@ -94,7 +97,8 @@
   /// Changes the address that later calls are sent to.
   void SetAddress(std::string address) { address_ = std::move(address); }
 
-  /// Lists the newest record of each key.
+  /// Lists the newest record of each key. What was found of a listing that
+  /// couldn't be read to its end is `truncated`.
   [[nodiscard]] boost::asio::awaitable<KeyedPage> ReadNewest(
       std::string topic) const;
 
@@ -143,8 +147,8 @@
   Pacer pacer_;
 };
 
-/// Decodes the response body of a read of a keyed topic. A truncated record and
-/// everything after it are ignored.
+/// Decodes the response body of a read of a keyed topic. A record that is cut
+/// off and everything after it are ignored.
 /// @param from Offset of the first record.
 [[nodiscard]] KeyedPage DecodeRead(const std::string& body, LogOffset from);
 
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -89,7 +89,7 @@
   void (*apply)(PlatformControl&, const json::value&);
 };
 
-constexpr std::array<ControlKey, 12> kControlKeys{{
+constexpr std::array<ControlKey, 13> kControlKeys{{
     {"refused_senders",
      [](PlatformControl& control, const json::value& value) {
        control.refused_senders = ParseSenders(value);
@@ -130,6 +130,10 @@
      [](PlatformControl& control, const json::value& value) {
        control.retention.age = ParseMilliseconds(value);
      }},
+    {"repeat_first_page",
+     [](PlatformControl& control, const json::value& value) {
+       control.repeat_first_page = value.as_bool();
+     }},
     {"page_items",
      [](PlatformControl& control, const json::value& value) {
        control.page_items = value.to_number<std::size_t>();
@@ -456,7 +460,8 @@
 Response Platform::ReadNewest(const Request& request) {
   ++counters_.list_reads;
   const std::string topic = QueryText(request, "topic");
-  const std::string after = QueryText(request, "after");
+  const std::string after =
+      control_.repeat_first_page ? "" : QueryText(request, "after");
   json::array items;
   bool more = false;
   for (const auto& [key, newest] : newest_[topic]) {
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -38,6 +38,8 @@
   /// Share of appends, 0 to 1, that take effect but get no response.
   double lose_share = 0.0;
   Retention retention;
+  /// Whether every page of a listing is the first one.
+  bool repeat_first_page = false;
   /// Maximum number of items on a page of a listing.
   std::size_t page_items = 500;
   /// Delay until a change of a target's or VM's state shows in its entry.
--- a/test/kingcupshed/daemon/odd_entries.cc
+++ b/test/kingcupshed/daemon/odd_entries.cc
@@ -107,6 +107,28 @@
   }
 }
 
+// A listing that can't be read to its end doesn't show that a target is gone.
+BOOST_AUTO_TEST_CASE(ListingWithoutAnEndRemovesNoTarget) {
+  StoreRig rig;
+  const Vm& vm = rig.AddVm();
+  rig.PutHeartbeat("0-1", "ready", 1, 1);
+  BOOST_TEST(rig.RunWithin(kBound, [&] { return HasAllTargets(vm); }));
+  rig.ControlStandin(R"({"page_items": 1, "repeat_first_page": true})");
+  const std::uint64_t lists = rig.ReadCounter("list_reads");
+  // The log no longer has what comes next, so the VM lists the targets again.
+  rig.PutHeartbeat("0-1", "ready", 1, 2);
+  rig.ControlStandin(R"({"compact": "keyed.servers"})");
+  BOOST_TEST(rig.RunWithin(
+      kBound, [&] { return rig.ReadCounter("list_reads") > lists + 3; }));
+  rig.RunFor(kBound);
+  BOOST_TEST(HasAllTargets(vm));
+  rig.ControlStandin(R"({"repeat_first_page": false})");
+  rig.ControlStandin(R"({"targets": {"a-2": "removed"}})");
+  BOOST_TEST(rig.RunWithin(kBound, [&] { return !vm.HasActiveTarget("a-2"); }));
+  BOOST_TEST(vm.HasActiveTarget("0-1"));
+  BOOST_TEST(vm.HasActiveTarget("a-1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::daemon
--- a/test/kingcupshed/platform/store.cc
+++ b/test/kingcupshed/platform/store.cc
@@ -50,6 +50,7 @@
   const KeyedPage page = DecodeRead(body, LogOffset{7});
   BOOST_TEST(page.records.size() == 1U);
   BOOST_TEST(ToIndex(page.next_offset) == 8U);
+  BOOST_TEST(page.truncated);
 }
 
 BOOST_AUTO_TEST_CASE(DecodesAPageOfNewestRecords) {
@@ -77,7 +78,8 @@
 BOOST_AUTO_TEST_CASE(RejectsMalformedResponses) {
   BOOST_TEST(
       (DecodeRead("short", LogOffset{0}).status == StoreStatus::kNotDone));
-  for (const char* body : {"[", R"({"items":3,"end":1})"}) {
+  for (const char* body : {"[", R"({"items":3,"end":1})",
+                           R"({"items":[],"has_more":"yes","end":1})"}) {
     BOOST_TEST((DecodeNewest(body).page.status == StoreStatus::kNotDone), body);
   }
 }
