A record of another writer doesn't stop the reading of our own streams

With one record in it that isn't ours, each read of a stream of the product's own interface (tables, claims of keys) failed for as long as the record was kept: no table came into force, and no key could be claimed.

Cause: Client::Read decoded a page as a whole or not at all.

Mend: such a record keeps its offset and has neither id nor payload. Both readers already pass over a record whose payload they can't parse, and go on after its offset.

Evidence: ClientTest/RecordOfAnotherWriterHidesNoOthers failed on the code before (the read was not done) and passes now.

--- a/src/kingcupshed/platform/client.cc
+++ b/src/kingcupshed/platform/client.cc
@@ -5,13 +5,9 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
-#include <boost/leaf/error.hpp>
-#include <boost/leaf/handle_errors.hpp>
-#include <boost/leaf/result.hpp>
 
 #include "kingcupshed/core/ids.h"
 #include "kingcupshed/platform/documents.h"
-#include "kingcupshed/platform/error.h"
 #include "kingcupshed/platform/json_read.h"
 
 namespace kingcupshed::platform {
@@ -20,7 +16,6 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
-namespace leaf = boost::leaf;
 
 /// Connection limit of a target whose entry doesn't state one.
 constexpr std::uint32_t kDefaultConnections = 240;
@@ -43,32 +38,29 @@
       json::object{{"id", record.id}, {"payload", record.payload}});
 }
 
-leaf::result<LogRecord> DecodeEnvelope(LogOffset offset,
-                                       const std::string& content) {
+/// Decodes a record of one of the load balancer's streams. A record of another
+/// writer keeps its offset and has neither id nor payload, so that readers pass
+/// over it.
+LogRecord DecodeEnvelope(LogOffset offset, const std::string& content) {
   boost::system::error_code error;
   const json::value value = json::parse(content, error);
-  if (error || !value.is_object()) {
-    return leaf::new_error(Error::kNotJson);
-  }
-  auto id = FindString(value.get_object(), "id");
-  auto payload = FindString(value.get_object(), "payload");
+  const json::object* object = error ? nullptr : value.if_object();
+  auto id = object == nullptr ? std::nullopt : FindString(*object, "id");
+  auto payload =
+      object == nullptr ? std::nullopt : FindString(*object, "payload");
   if (!id || !payload) {
-    return leaf::new_error(Error::kBadMember);
+    return LogRecord{offset, {}, {}};
   }
   return LogRecord{offset, *std::move(id), *std::move(payload)};
 }
 
-leaf::result<LogPage> DecodePage(LogOffset from, const RawPage& raw) {
-  if (raw.status != StoreStatus::kDone) {
-    return leaf::new_error(Error::kNoResponse);
-  }
+LogPage DecodePage(LogOffset from, const RawPage& raw) {
   LogPage page;
   page.first = raw.first_offset;
   page.end = raw.end_offset;
   for (std::size_t i = 0; i < raw.contents.size(); ++i) {
     const LogOffset offset{ToIndex(from) + i};
-    BOOST_LEAF_AUTO(record, DecodeEnvelope(offset, raw.contents[i]));
-    page.records.push_back(std::move(record));
+    page.records.push_back(DecodeEnvelope(offset, raw.contents[i]));
   }
   return page;
 }
@@ -101,12 +93,10 @@
     raw = co_await store_.ReadRaw(std::move(stream), from, Duration::zero(),
                                   timeout_margin);
   }
-  co_return leaf::try_handle_all(
-      [&]() -> leaf::result<ReadResult> {
-        BOOST_LEAF_AUTO(page, DecodePage(from, raw));
-        return ReadResult{Status::kDone, std::move(page)};
-      },
-      [] { return ReadResult{}; });
+  if (raw.status != StoreStatus::kDone) {
+    co_return ReadResult{};
+  }
+  co_return ReadResult{Status::kDone, DecodePage(from, raw)};
 }
 
 /// Reads what is new in a topic into its cache.
--- a/test/kingcupshed/platform/client.cc
+++ b/test/kingcupshed/platform/client.cc
@@ -68,6 +68,14 @@
     BOOST_REQUIRE(Run(platform.Handle(request)).code == 200U);
   }
 
+  /// Appends a record that another writer has encoded in its own way.
+  void AppendRaw(const std::string& content) {
+    const Store store(address);
+    std::vector<std::string> contents{content};
+    const RawAppend result = Run(store.AppendRaw("table", std::move(contents)));
+    BOOST_REQUIRE((result.status == StoreStatus::kDone));
+  }
+
   AppendResult Append(std::vector<NewRecord> records) {
     return Run(client.Append("table", std::move(records)));
   }
@@ -146,6 +154,22 @@
   BOOST_TEST(!Run(client.ListTargets()).has_value());
 }
 
+// One record of another writer used to stop every read of its stream.
+BOOST_AUTO_TEST_CASE(RecordOfAnotherWriterHidesNoOthers) {
+  (void)Append({{"id-1", "first"}});
+  AppendRaw("\xff nonsense");
+  AppendRaw(R"({"id": 5, "payload": "x"})");
+  (void)Append({{"id-2", "second"}});
+  const ReadResult read = Read(0);
+  BOOST_TEST((read.status == Status::kDone));
+  BOOST_REQUIRE_EQUAL(read.page.records.size(), 4U);
+  BOOST_TEST(read.page.records[0].payload == "first");
+  BOOST_TEST(read.page.records[1].payload.empty());
+  BOOST_TEST(ToIndex(read.page.records[1].offset) == 1U);
+  BOOST_TEST(read.page.records[2].payload.empty());
+  BOOST_TEST(read.page.records[3].payload == "second");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::platform
