An entry with an address that none can connect to names no target

An entry of another writer whose addr is some text counted as a target with free slots, and calls were tried there first. The text after the % of an IPv6 zone went into the Host field as it was. A warm-up time too long for a duration, or infinite, became any number.

Cause: DecodeTarget took every text for an address and every number for a time.

Mend: an address has to parse and to have a port; IPv6 zones are no part of an address; times over 1e9 s count as none, and slots and connections share one bound.

Evidence: five checks of Documents/RejectsMalformedTargets and IgnoresTimesThatNoOneMeans failed on the code before; they pass now.

--- a/src/kingcupshed/http/address.cc
+++ b/src/kingcupshed/http/address.cc
@@ -25,6 +25,10 @@
   if (read.ec != std::errc() || read.ptr != end) {
     return std::nullopt;
   }
+  // Anything could follow the `%` of an IPv6 zone.
+  if (host.find('%') != std::string_view::npos) {
+    return std::nullopt;
+  }
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address(std::string(host), error);
   if (error) {
--- a/src/kingcupshed/platform/documents.cc
+++ b/src/kingcupshed/platform/documents.cc
@@ -11,6 +11,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include "kingcupshed/http/address.h"
 #include "kingcupshed/platform/json_read.h"
 
 namespace kingcupshed::platform {
@@ -19,6 +20,9 @@
 
 namespace json = boost::json;
 
+/// Bound on a target's slots and connections; nobody means more.
+constexpr std::uint64_t kMaxCount = 100'000;
+
 /// Number of the lowest rank; greater priority numbers of the platform map to
 /// it.
 constexpr std::uint64_t kLowestRank = kRankCount - 1;
@@ -48,13 +52,21 @@
 
 std::optional<Duration> FindSeconds(const json::object& object,
                                     json::string_view key) {
+  // Longer times, and infinity, are no times that anyone means.
+  constexpr double kMaxSeconds = 1e9;
   const auto number = FindNumber(object, key);
-  if (!number || *number < 0.0) {
+  if (!number || !(*number >= 0.0 && *number <= kMaxSeconds)) {
     return std::nullopt;
   }
   return FromSeconds(*number);
 }
 
+/// Returns whether an address is one that a target can listen on.
+bool IsConnectable(const std::string& address) {
+  const auto endpoint = http::ParseAddress(address);
+  return endpoint && endpoint->port() != 0;
+}
+
 /// A value of the member `kind` of a route.
 struct RouteKind {
   std::string_view name;
@@ -223,7 +235,8 @@
   // be absent, but not malformed.
   const auto born = FindUnsigned(object, "born");
   const bool born_malformed = object.contains("born") && !born;
-  if (info == nullptr || status == nullptr || !address || born_malformed) {
+  if (info == nullptr || status == nullptr || !address || born_malformed ||
+      !IsConnectable(*address)) {
     return std::nullopt;
   }
   const auto service = FindString(*info, "service");
@@ -241,12 +254,13 @@
   report.zone = *zone;
   report.address = *address;
   report.slots =
-      static_cast<std::uint32_t>(std::min<std::uint64_t>(*slots, 100'000));
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(*slots, kMaxCount));
   report.draining = state == "draining";
   report.warmup_remaining =
       FindSeconds(*status, "warmup_left_s").value_or(Duration::zero());
   if (const auto connections = FindUnsigned(*info, "connections")) {
-    report.max_connections = static_cast<std::uint32_t>(*connections);
+    report.max_connections = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(*connections, kMaxCount));
   }
   report.incarnation = born.value_or(0);
   report.sequence = *sequence;
--- a/test/kingcupshed/platform/documents.cc
+++ b/test/kingcupshed/platform/documents.cc
@@ -104,6 +104,9 @@
   const std::vector<std::pair<std::string, std::string>> corruptions{
       {"\"addr\":\"10.128.0.9:8080\",", ""},
       {"\"addr\":\"10.128.0.9:8080\"", "\"addr\":5"},
+      {"10.128.0.9:8080", "nowhere"},
+      {"10.128.0.9:8080", "10.128.0.9:0"},
+      {"10.128.0.9:8080", "[fe80::1%\\r\\nX: y]:8080"},
       {"\"service\":\"s1\"", "\"service\":null"},
       {"\"ready\"", "\"sleeping\""},
       {"\"seq\":4", "\"seq\":\"4\""},
@@ -131,6 +134,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(IgnoresTimesThatNoOneMeans) {
+  for (const char* seconds : {"-1", "1e300", "1e999", "\"soon\""}) {
+    const auto report = DecodeTarget(
+        "i-1", Replace(kTarget, "\"warmup_left_s\":1.5",
+                       "\"warmup_left_s\":" + std::string(seconds)));
+    BOOST_TEST((!report || report->warmup_remaining == Duration::zero()),
+               seconds);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ParsesLoadHeaders) {
   const auto load = ParseLoadHeader("3,1,8,250");
   BOOST_REQUIRE(load.has_value());
