A health path can't break the request line of a health check

A health path with a blank or a line end in the operators' document broke each health check, or put a field into it.

Mend: what can't stand in a request's path and query is escaped; escapes that are there already stay.

Evidence: Documents/HealthPathIsOneOfARequest failed on the code before (the path came through with its blank and line end) and passes now.

--- a/src/kingcupshed/platform/documents.cc
+++ b/src/kingcupshed/platform/documents.cc
@@ -13,6 +13,7 @@
 
 #include "kingcupshed/http/address.h"
 #include "kingcupshed/platform/json_read.h"
+#include "kingcupshed/platform/url.h"
 
 namespace kingcupshed::platform {
 
@@ -156,7 +157,8 @@
   }
   route::ServiceConfig row;
   row.name = *name;
-  row.health_path = FindString(*object, "health_path").value_or("/health");
+  row.health_path =
+      EscapePath(FindString(*object, "health_path").value_or("/health"));
   row.max_connections = static_cast<std::uint32_t>(
       FindUnsigned(*object, "max_conns").value_or(0));
   return row;
--- a/src/kingcupshed/platform/url.cc
+++ b/src/kingcupshed/platform/url.cc
@@ -33,4 +33,10 @@
   });
 }
 
+std::string EscapePath(std::string_view path) {
+  return Escape(path, [](unsigned char byte) {
+    return absl::ascii_isgraph(byte) && byte != '#';
+  });
+}
+
 }  // namespace kingcupshed::platform
--- a/test/kingcupshed/platform/documents.cc
+++ b/test/kingcupshed/platform/documents.cc
@@ -77,6 +77,13 @@
                   .has_value());
 }
 
+BOOST_AUTO_TEST_CASE(HealthPathIsOneOfARequest) {
+  const auto table =
+      DecodeRoutes(Replace(kRoutes, "\"/h\"", "\"/h 1\\r\\nX: y\""));
+  BOOST_REQUIRE(table.has_value());
+  BOOST_TEST(table->services.front().health_path == "/h%201%0d%0aX:%20y");
+}
+
 // Work of a kind that this version of the software doesn't know must not run
 // twice.
 BOOST_AUTO_TEST_CASE(TreatsUnknownKindsAsAtMostOnce) {
--- a/test/kingcupshed/platform/url.cc
+++ b/test/kingcupshed/platform/url.cc
@@ -13,6 +13,11 @@
   BOOST_TEST(EscapeQueryValue("\r\n\x7f\xff") == "%0d%0a%7f%ff");
 }
 
+BOOST_AUTO_TEST_CASE(EscapesWhatIsNoPartOfAPath) {
+  BOOST_TEST(EscapePath("/health?deep=1&x=%20") == "/health?deep=1&x=%20");
+  BOOST_TEST(EscapePath("/a b\r\nX: y#z\xff") == "/a%20b%0d%0aX:%20y%23z%ff");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::platform
