A status that no answer has is a failure of the target

What callers saw: on other systems an answer with status 000. Here a head with a status below 100 was skipped like an interim one. The call then waited for another head until its deadline, at a target that thought it had answered; if the bytes that followed looked like a head, the client got those as the answer. Statuses of 600 and more were passed on. A health check counted 000 as an answer, and a call to the store read 000 or 101 as one that proves that nothing was done.

Cause: each reader compared the status with one bound, if any.

Mend: one place reads and checks the head of every response, of targets, health checks and the VM's own calls: 100 to 599, and not 101, as no request asks to switch protocols. What fails there is a failure of the target: idempotent work goes elsewhere, other work is unknown, the connection is closed. The check of ambiguous lengths moved there from the calls. Interim responses end a health check and an own call, as nothing asks for them.

--- a/src/kingcupshed/http/fetch.cc
+++ b/src/kingcupshed/http/fetch.cc
@@ -17,6 +17,7 @@
 
 #include "kingcupshed/http/address.h"
 #include "kingcupshed/http/internal/message.h"
+#include "kingcupshed/http/internal/response_head.h"
 
 namespace kingcupshed::http {
 
@@ -110,6 +111,10 @@
   beast::flat_buffer buffer(kMaxReadBufferBytes);
   beast::http::response_parser<beast::http::string_body> parser;
   parser.body_limit(request.max_response_body);
+  error = co_await ReadResponseHead(stream, buffer, parser);
+  if (error || parser.get().result_int() < kMinFinalStatus) {
+    co_return result;
+  }
   co_await beast::http::async_read(stream, buffer, parser, token);
   if (error) {
     co_return result;
--- a/src/kingcupshed/http/internal/attempt.cc
+++ b/src/kingcupshed/http/internal/attempt.cc
@@ -11,6 +11,7 @@
 
 #include "kingcupshed/http/headers.h"
 #include "kingcupshed/http/internal/response_check.h"
+#include "kingcupshed/http/internal/response_head.h"
 
 namespace kingcupshed::http {
 
@@ -25,7 +26,6 @@
 /// Limit on the responses before the one to this call: interim ones, and ones
 /// to earlier calls.
 constexpr int kMaxSkippedResponses = 16;
-constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMinServerErrorStatus = 500;
 /// Margin after the caller's deadline before the connection times out; the call
 /// itself ends at the deadline.
@@ -312,10 +312,8 @@
   parser->header_limit(kMaxHeaderBytes);
   parser->body_limit(boost::none);
   parser->skip(request_.head.method() == beast::http::verb::head);
-  boost::system::error_code error;
-  co_await beast::http::async_read_header(
-      lease_->stream, lease_->buffer, *parser,
-      asio::redirect_error(asio::use_awaitable, error));
+  const auto error =
+      co_await ReadResponseHead(lease_->stream, lease_->buffer, *parser);
   response_ = std::move(parser);
   co_return error;
 }
--- a/src/kingcupshed/http/internal/health_probe.cc
+++ b/src/kingcupshed/http/internal/health_probe.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "kingcupshed/http/internal/response_head.h"
+
 namespace kingcupshed::http {
 
 namespace {
@@ -21,11 +23,9 @@
 asio::awaitable<bool> ReadComplete(TargetConnection& connection,
                                    ResponseParser& response) {
   auto token = asio::use_awaitable;
-  boost::system::error_code error;
   response.body_limit(kMaxProbeBodyBytes);
-  co_await beast::http::async_read_header(connection.stream, connection.buffer,
-                                          response,
-                                          asio::redirect_error(token, error));
+  boost::system::error_code error =
+      co_await ReadResponseHead(connection.stream, connection.buffer, response);
   std::array<char, 1024> chunk;
   while (!error && !response.is_done()) {
     response.get().body().data = chunk.data();
@@ -79,7 +79,8 @@
   const bool foreign = !GetField(head, header_scheme.call_id).empty();
   const bool right_instance = GetField(head, header_scheme.instance) ==
                               server.context.target_name(request.target);
-  if (foreign || !right_instance) {
+  const bool final = head.result_int() >= kMinFinalStatus;
+  if (foreign || !right_instance || !final) {
     co_return outcome;
   }
   outcome.responded = true;
--- a/src/kingcupshed/http/internal/response_check.cc
+++ b/src/kingcupshed/http/internal/response_check.cc
@@ -29,12 +29,6 @@
   if (!named || (!echo.empty() && echo != call)) {
     return false;
   }
-  const bool ambiguous_length =
-      head.count(beast::http::field::content_length) > 1 ||
-      (head.count(beast::http::field::content_length) > 0 && head.chunked());
-  if (ambiguous_length) {
-    return false;
-  }
   if (header_scheme.response_stamp.empty()) {
     return response.is_done() || !response.need_eof();
   }
--- a/src/kingcupshed/http/internal/response_check.h
+++ b/src/kingcupshed/http/internal/response_check.h
@@ -16,8 +16,8 @@
                                   const HeaderScheme& header_scheme,
                                   std::string_view call);
 
-/// Returns whether the head belongs to the call and defines the body length
-/// unambiguously.
+/// Returns whether the response belongs to the call and its body is one that
+/// can be forwarded.
 [[nodiscard]] bool IsValidResponse(const ResponseParser& response,
                                    const HeaderScheme& header_scheme,
                                    std::string_view call);
--- a/test/kingcupshed/http/broken_response.cc
+++ b/test/kingcupshed/http/broken_response.cc
@@ -1,6 +1,8 @@
 // Bytes of targets that are no whole response of HTTP. No caller gets them as a
 // response: they are a failure of the target.
+#include <array>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +20,15 @@
 constexpr std::string_view kOwnFields =
     "Request-Id: {id}\r\nResponse-Stamp: s\r\n";
 
+/// Statuses that no final response has. After 101 a connection would no longer
+/// carry HTTP, and no request asks for that.
+constexpr std::array<std::string_view, 6> kNoStatuses{"000", "001", "099",
+                                                      "101", "600", "999"};
+
+std::string Get(std::string_view id = "r1") {
+  return RoutedServerRig::MakeRequest("GET", "/read/x", id);
+}
+
 std::string Post(std::string_view id = "r1") {
   return RoutedServerRig::MakeRequest("POST", "/write/x", id, "payload");
 }
@@ -26,6 +37,36 @@
   return response.size() < 12 ? "none" : response.substr(9, 3);
 }
 
+std::string WithStatus(std::string_view status) {
+  return "HTTP/1.1 " + std::string(status) + " Odd\r\n" +
+         std::string(kOwnFields) + "Content-Length: 4\r\n\r\nodd!";
+}
+
+/// Checks what callers get when a target sends something that is no response
+/// and keeps its connection open.
+void CheckIsTargetFailure(const std::string& bytes) {
+  RoutedServerRig rig(2);
+  rig.AddScriptedResponse({bytes});
+  const std::string read = rig.Exchange(Get());
+  BOOST_TEST(StatusOf(read) == "200");
+  BOOST_TEST(read.ends_with("\r\n\r\nfine"));
+  BOOST_TEST(rig.requests().size() == 2U);
+  rig.AddScriptedResponse({bytes});
+  BOOST_TEST(StatusOf(rig.Exchange(Post("r2"))) == "502");
+  BOOST_TEST(rig.requests().size() == 3U);
+}
+
+/// Checks that a connection isn't used again after something that is no
+/// response.
+void CheckClosesConnection(const std::string& bytes) {
+  RoutedServerRig rig(1);
+  rig.AddScriptedResponse({bytes});
+  (void)rig.Exchange(Post());
+  const std::size_t connections = rig.accepted_connections();
+  BOOST_TEST(StatusOf(rig.Exchange(Post("r2"))) == "200");
+  BOOST_TEST(rig.accepted_connections() > connections);
+}
+
 /// Returns the head of a request with a body too long to be buffered, and the
 /// start of that body.
 std::string StartOfUpload(std::string_view path,
@@ -53,6 +94,16 @@
   return response->first;
 }
 
+std::optional<ProbeOutcome> ProbeWith(const std::string& bytes) {
+  RoutedServerRig rig(1);
+  rig.SetHealthResponse(bytes);
+  std::optional<ProbeOutcome> outcome;
+  rig.server().Probe({rig.target(0), "/health", std::chrono::milliseconds(300)},
+                     [&](const ProbeOutcome& ended) { outcome = ended; });
+  rig.RunUntil([&] { return outcome.has_value(); });
+  return outcome;
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(BrokenResponseTest)
@@ -95,6 +146,34 @@
   BOOST_TEST(StatusOf(rig.Exchange(Post())) == "502");
 }
 
+BOOST_AUTO_TEST_CASE(StatusThatNoFinalResponseHas) {
+  for (const std::string_view status : kNoStatuses) {
+    BOOST_TEST_CONTEXT(status) {
+      CheckIsTargetFailure(WithStatus(status));
+      CheckClosesConnection(WithStatus(status));
+    }
+  }
+}
+
+// A head with such a status used to be skipped like an interim response, and
+// what followed it was read as the response.
+BOOST_AUTO_TEST_CASE(BytesAfterAStatusOf000AreNoResponse) {
+  CheckIsTargetFailure("HTTP/1.1 000 Odd\r\n" + std::string(kOwnFields) +
+                       "\r\n" + RoutedServerRig::MakeResponse("odd!"));
+}
+
+BOOST_AUTO_TEST_CASE(HealthCheckWithABrokenResponse) {
+  const auto respond = [](std::string_view status) {
+    return "HTTP/1.1 " + std::string(status) +
+           " OK\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n";
+  };
+  BOOST_TEST(ProbeWith(respond("200"))->responded);
+  BOOST_TEST(ProbeWith(respond("503"))->responded);
+  for (const std::string_view status : kNoStatuses) {
+    BOOST_TEST(!ProbeWith(respond(status))->responded, status);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace kingcupshed::http
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -162,6 +162,17 @@
     return response;
   }
 
+  /// Sets what targets respond to health checks; `{name}` is replaced by the
+  /// target's name.
+  void SetHealthResponse(std::string bytes) {
+    health_response_ = std::move(bytes);
+  }
+
+  /// Returns the number of connections that targets have accepted.
+  [[nodiscard]] std::size_t accepted_connections() const {
+    return accepted_connections_;
+  }
+
   /// Lets all targets leave health checks without a response.
   void SilenceHealthChecks() { health_silent_ = true; }
 
@@ -313,6 +324,7 @@
                                std::string name) {
     for (;;) {
       auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      ++accepted_connections_;
       asio::co_spawn(io_, ServeTarget(std::move(socket), name), asio::detached);
     }
   }
@@ -430,6 +442,9 @@
                                 const std::string& body,
                                 const std::string& name) {
     if (head.starts_with("GET /health")) {
+      if (!health_response_.empty()) {
+        return {Fill(health_response_, "{name}", name)};
+      }
       return {"HTTP/1.1 200 OK\r\nInstance-Id: " + name +
               "\r\nServer-Load: " + std::to_string(running_[name]) +
               ",0,3,100\r\nContent-Length: 0\r\n\r\n"};
@@ -440,14 +455,22 @@
       response = script_.front();
       script_.pop_front();
     }
-    const std::string id = HeaderIn(head, "Request-Id: ");
-    for (std::size_t at = response.bytes.find("{id}"); at != std::string::npos;
-         at = response.bytes.find("{id}")) {
-      response.bytes.replace(at, 4, id);
-    }
+    response.bytes =
+        Fill(response.bytes, "{id}", HeaderIn(head, "Request-Id: "));
     return response;
   }
 
+  /// Replaces every occurrence of a placeholder.
+  static std::string Fill(std::string text,
+                          std::string_view placeholder,
+                          const std::string& value) {
+    for (std::size_t at = text.find(placeholder); at != std::string::npos;
+         at = text.find(placeholder)) {
+      text.replace(at, placeholder.size(), value);
+    }
+    return text;
+  }
+
   static std::string HeaderIn(const std::string& head, std::string_view name) {
     const std::size_t at = head.find(name);
     if (at == std::string::npos) {
@@ -524,6 +547,9 @@
   std::set<asio::steady_timer*> held_responses_;
   bool responses_released_ = false;
   bool health_silent_ = false;
+  /// Empty for the usual response.
+  std::string health_response_;
+  std::size_t accepted_connections_ = 0;
   std::size_t resets_ = 0;
   Duration route_timeout_ = std::chrono::milliseconds(700);
   std::size_t aborted_requests_ = 0;
