A line that begins with a blank is no field of an answer

What callers saw: on other systems an answer in whose head a field's name held a blank or a control byte was passed on with that line. Here one kind of it was: a line that begins with a blank or a tab became a part of the value before it, and the client got the answer so changed, an interim one's successor too.

Cause: the parser unfolds folded fields (RFC 9112, 5.2). It rejects all other names with a blank or a control byte, and empty ones.

Mend: the reader of heads looks for a fold in what the parser consumes, and such a head is a failure of the target. The RFC lets a proxy replace a fold by a blank or discard the response; only the second is right where the line is a broken field.

The other seven lines were handled before; they stay in the tests.

--- a/src/kingcupshed/http/internal/response_head.h
+++ b/src/kingcupshed/http/internal/response_head.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/system/error_code.hpp>
 
 #include "kingcupshed/http/internal/message.h"
@@ -12,6 +10,15 @@
 /// Responses with a lower status are interim: another one follows.
 inline constexpr unsigned kMinFinalStatus = 200;
 
+/// Reads the head of a response. Unlike the parser alone, rejects folded fields
+/// (RFC 9112, 5.2): a line that begins with a blank would become a part of the
+/// value of the field before it.
+/// @return An error if there is no head that can be read.
+[[nodiscard]] asio::awaitable<boost::system::error_code> ReadUnfoldedHead(
+    beast::tcp_stream& stream,
+    beast::flat_buffer& buffer,
+    beast::http::basic_parser<false>& parser);
+
 /// Checks the status of a response and how its length is given.
 /// @return An error if the head is none of a response in HTTP/1.1.
 [[nodiscard]] boost::system::error_code CheckHead(const ResponseHead& head);
@@ -23,9 +30,7 @@
     beast::tcp_stream& stream,
     beast::flat_buffer& buffer,
     Parser& parser) {
-  boost::system::error_code error;
-  co_await beast::http::async_read_header(
-      stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  const auto error = co_await ReadUnfoldedHead(stream, buffer, parser);
   co_return error ? error : CheckHead(parser.get().base());
 }
 
--- a/test/kingcupshed/http/broken_response.cc
+++ b/test/kingcupshed/http/broken_response.cc
@@ -25,6 +25,13 @@
 constexpr std::array<std::string_view, 6> kNoStatuses{"000", "001", "099",
                                                       "101", "600", "999"};
 
+/// Lines of a head whose field name is empty, or holds a blank or a control
+/// byte.
+const std::array<std::string, 9> kNoFields{
+    "X Y: z",  "X : z",     " X: z",     "\tX: z",
+    "X\tY: z", "X\x01Y: z", "X\x7fY: z", std::string("X\0Y: z", 6),
+    ": z"};
+
 std::string Get(std::string_view id = "r1") {
   return RoutedServerRig::MakeRequest("GET", "/read/x", id);
 }
@@ -42,6 +49,11 @@
          std::string(kOwnFields) + "Content-Length: 4\r\n\r\nodd!";
 }
 
+std::string WithLine(std::string_view line) {
+  return "HTTP/1.1 200 OK\r\n" + std::string(kOwnFields) + std::string(line) +
+         "\r\nContent-Length: 4\r\n\r\nodd!";
+}
+
 /// Checks what callers get when a target sends something that is no response
 /// and keeps its connection open.
 void CheckIsTargetFailure(const std::string& bytes) {
@@ -162,15 +174,30 @@
                        "\r\n" + RoutedServerRig::MakeResponse("odd!"));
 }
 
+BOOST_AUTO_TEST_CASE(FieldNameWithABlankOrAControlByte) {
+  for (const std::string& line : kNoFields) {
+    BOOST_TEST_CONTEXT(line) {
+      CheckIsTargetFailure(WithLine(line));
+      CheckClosesConnection(WithLine(line));
+      CheckIsTargetFailure("HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + line +
+                           "\r\n\r\n" + RoutedServerRig::MakeResponse("odd!"));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HealthCheckWithABrokenResponse) {
-  const auto respond = [](std::string_view status) {
+  const auto respond = [](std::string_view status, std::string_view line) {
     return "HTTP/1.1 " + std::string(status) +
-           " OK\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n";
+           " OK\r\nInstance-Id: {name}\r\n" + std::string(line) +
+           "Content-Length: 0\r\n\r\n";
   };
-  BOOST_TEST(ProbeWith(respond("200"))->responded);
-  BOOST_TEST(ProbeWith(respond("503"))->responded);
+  BOOST_TEST(ProbeWith(respond("200", ""))->responded);
+  BOOST_TEST(ProbeWith(respond("503", ""))->responded);
   for (const std::string_view status : kNoStatuses) {
-    BOOST_TEST(!ProbeWith(respond(status))->responded, status);
+    BOOST_TEST(!ProbeWith(respond(status, ""))->responded, status);
+  }
+  for (const std::string& line : kNoFields) {
+    BOOST_TEST(!ProbeWith(respond("200", line + "\r\n"))->responded, line);
   }
 }
 
