A transfer coding other than chunked is no answer that can be passed on

What callers saw: nothing yet; found by reading the heads of answers for the same cause. A 200 with Transfer-Encoding gzip, or gzip before chunked, came to the client without that field and with the coded bytes.

Cause: the field concerns one connection and is taken off, but its coding was not undone.

Mend: the only coding is chunked, once; no request offers another.

Evidence: BrokenResponseTest/TransferCodingThatEndsWithTheConnection failed in all 3 checks on the code before, and one of FetchTest/BrokenResponseIsNoResponse. They pass now.

--- a/src/kingcupshed/http/internal/response_head.cc
+++ b/src/kingcupshed/http/internal/response_head.cc
@@ -78,10 +78,16 @@
     return error::bad_status;
   }
   const std::size_t lengths = head.count(field::content_length);
-  if (lengths > 1 ||
-      (lengths > 0 && head.count(field::transfer_encoding) > 0)) {
+  const std::size_t codings = head.count(field::transfer_encoding);
+  if (lengths > 1 || (lengths > 0 && codings > 0)) {
     return error::bad_content_length;
   }
+  // No request offers any other coding.
+  const bool chunked =
+      beast::iequals(head[field::transfer_encoding], "chunked");
+  if (codings > 1 || (codings == 1 && !chunked)) {
+    return error::bad_transfer_encoding;
+  }
   return {};
 }
 
--- a/test/kingcupshed/http/broken_response.cc
+++ b/test/kingcupshed/http/broken_response.cc
@@ -185,6 +185,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(TransferCodingThatEndsWithTheConnection) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\n" + std::string(kOwnFields) + "Transfer-Encoding: ";
+  for (const std::string_view coding : {"gzip", "gzip, chunked", "identity"}) {
+    BOOST_TEST_CONTEXT(coding) {
+      RoutedServerRig rig(1);
+      rig.AddScriptedResponse({.bytes = head + std::string(coding) +
+                                        "\r\n\r\n4\r\nodd!\r\n0\r\n\r\n",
+                               .close = true});
+      BOOST_TEST(StatusOf(rig.Exchange(Post())) == "502");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HealthCheckWithABrokenResponse) {
   const auto respond = [](std::string_view status, std::string_view line) {
     return "HTTP/1.1 " + std::string(status) +
--- a/test/kingcupshed/http/fetch.cc
+++ b/test/kingcupshed/http/fetch.cc
@@ -73,14 +73,15 @@
 
 // What is no response proves nothing about the call: it may have been done.
 BOOST_AUTO_TEST_CASE(BrokenResponseIsNoResponse) {
-  const std::array<std::string, 7> responses{
+  const std::array<std::string, 8> responses{
       Respond("000"),
       Respond("600"),
       Respond("101"),
       Respond("200", "X Y: z\r\n"),
       Respond("200", " X: z\r\n"),
       Respond("200", "X\x01: z\r\n"),
-      Respond("200").substr(0, Respond("200").size() - 1)};
+      Respond("200").substr(0, Respond("200").size() - 1),
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok"};
   for (const std::string& response : responses) {
     BOOST_TEST((FetchBytes(response).status == FetchStatus::kNoResponse),
                response);
