The test of closed connections looks at the connection of each request

The check was wrong: it wanted a new connection for the next request, but a health check had opened a second one meanwhile (two were open after one request), and the next request rightly took that. What must not happen is that it comes on the connection of the broken response. The stand-in now numbers the connection of each request, and the check compares the two; no other connection can hide a reuse from it.

--- a/test/kingcupshed/http/broken_response.cc
+++ b/test/kingcupshed/http/broken_response.cc
@@ -74,9 +74,9 @@
   RoutedServerRig rig(1);
   rig.AddScriptedResponse({bytes});
   (void)rig.Exchange(Post());
-  const std::size_t connections = rig.accepted_connections();
   BOOST_TEST(StatusOf(rig.Exchange(Post("r2"))) == "200");
-  BOOST_TEST(rig.accepted_connections() > connections);
+  BOOST_REQUIRE_EQUAL(rig.request_connections().size(), 2U);
+  BOOST_TEST(rig.request_connections()[0] != rig.request_connections()[1]);
 }
 
 /// Returns the head of a request with a body too long to be buffered, and the
--- a/test/support/routed_server_rig.h
+++ b/test/support/routed_server_rig.h
@@ -168,9 +168,9 @@
     health_response_ = std::move(bytes);
   }
 
-  /// Returns the number of connections that targets have accepted.
-  [[nodiscard]] std::size_t accepted_connections() const {
-    return accepted_connections_;
+  /// Returns the number of the connection on which each of `requests()` came.
+  [[nodiscard]] const std::vector<std::size_t>& request_connections() const {
+    return request_connections_;
   }
 
   /// Lets all targets leave health checks without a response.
@@ -324,13 +324,13 @@
                                std::string name) {
     for (;;) {
       auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-      ++accepted_connections_;
       asio::co_spawn(io_, ServeTarget(std::move(socket), name), asio::detached);
     }
   }
 
   asio::awaitable<void> ServeTarget(asio::ip::tcp::socket socket,
                                     std::string name) {
+    const std::size_t connection = accepted_connections_++;
     std::string buffer;
     boost::system::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
@@ -357,6 +357,7 @@
         co_return;
       }
       const ScriptedResponse response = NextResponse(head, body, name);
+      request_connections_.resize(requests_.size(), connection);
       if (response.hold_response) {
         co_await HoldResponse(socket);
       }
@@ -550,6 +551,7 @@
   /// Empty for the usual response.
   std::string health_response_;
   std::size_t accepted_connections_ = 0;
+  std::vector<std::size_t> request_connections_;
   std::size_t resets_ = 0;
   Duration route_timeout_ = std::chrono::milliseconds(700);
   std::size_t aborted_requests_ = 0;
