--- a/review/rig2/rig.h
+++ b/review/rig2/rig.h
@@ -29,6 +29,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -98,18 +99,21 @@
   return address;
 }
 
-/// Returns a port that is free now.
+/// Returns a port that is free now, below those that the system gives to
+/// connections by itself.
 inline int FreePort(const std::string& ip = "127.0.0.1") {
+  constexpr int kFirst = 20000;
+  constexpr int kCount = 12000;
+  static std::mt19937 random(std::random_device{}());
   static std::set<int> given;
   for (;;) {
+    const int port = kFirst + static_cast<int>(random() % kCount);
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = Address(ip, 0);
-    bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+    const sockaddr_in address = Address(ip, port);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address),
+                           sizeof address) == 0;
     close(fd);
-    const int port = ntohs(address.sin_port);
-    if (given.insert(port).second) {
+    if (free && given.insert(port).second) {
       return port;
     }
   }
